Take a response with conflicting lengths for malformed

A trace of each answer's bytes shows the first request named served from 'Content-Length: 3' and 'Content-Length: 1643' in one head; src/codec/http.rs took the last. Ruled out for it: bytes of an earlier answer (taken = all that had come). Now: differing lengths, a length beside chunks, a '+' in a chunk's size, a name with blanks: malformed; a status without a body has none.

--- a/src/codec/http.rs
+++ b/src/codec/http.rs
@@ -42,9 +42,10 @@
     let mut head = Head {
         status: code as u16,
         headers: Vec::new(),
-        framing: if code == 204 || code == 304 { Framing::Length(0) } else { Framing::Close },
+        framing: Framing::Close,
         keep: version == b"HTTP/1.1 ",
     };
+    let (mut lengths, mut chunked) = (None, false);
     loop {
         if at > HEAD || head.headers.len() > HEADERS {
             return Err(Malformed("the headers are too long"));
@@ -52,20 +53,33 @@
         let Some((text, taken)) = line(&bytes[at..], LINE)? else { return Ok(None) };
         at += taken;
         if text.is_empty() {
+            head.framing = match (lengths, chunked) {
+                _ if matches!(code, 100..=199 | 204 | 304) => Framing::Length(0),
+                (Some(_), true) => return Err(Malformed("conflicting lengths")),
+                (Some(n), false) => Framing::Length(n),
+                (None, true) => Framing::Chunked,
+                (None, false) => Framing::Close,
+            };
             head.keep &= head.framing != Framing::Close;
             return Ok(Some((head, at)));
         }
         let colon = text.iter().position(|b| *b == b':').ok_or(Malformed("a header without a colon"))?;
-        let name = std::str::from_utf8(&text[..colon]).map_err(|_| Malformed("a header's name"))?;
+        let name = std::str::from_utf8(&text[..colon]).unwrap_or_default();
+        if name.is_empty() || !name.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(Malformed("an invalid header name"));
+        }
         let value = text[colon + 1..].trim_ascii();
-        if name.eq_ignore_ascii_case("content-length") && head.framing != Framing::Chunked {
+        if name.eq_ignore_ascii_case("content-length") {
             let n = length(value, most).ok_or(Malformed("an invalid or oversized content-length"))?;
-            head.framing = Framing::Length(n);
+            // Two lengths that differ, or one beside chunks: no telling where the body ends.
+            if lengths.replace(n).is_some_and(|other| other != n) {
+                return Err(Malformed("conflicting lengths"));
+            }
         } else if name.eq_ignore_ascii_case("transfer-encoding") {
             if !value.eq_ignore_ascii_case(b"chunked") {
                 return Err(Malformed("an unknown transfer-encoding"));
             }
-            head.framing = Framing::Chunked;
+            chunked = true;
         } else if name.eq_ignore_ascii_case("connection") {
             head.keep &= !value.eq_ignore_ascii_case(b"close");
         }
@@ -77,7 +91,10 @@
 pub fn chunk(bytes: &[u8], most: usize) -> Parsed<Vec<u8>> {
     let Some((size, at)) = line(bytes, 64)? else { return Ok(None) };
     let size = size.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
-    let size = std::str::from_utf8(size).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
+    let size = std::str::from_utf8(size)
+        .ok()
+        .filter(|s| !s.starts_with('+'))
+        .and_then(|s| usize::from_str_radix(s, 16).ok());
     let size = size.filter(|n| *n <= most).ok_or(Malformed("an invalid or oversized chunk"))?;
     if size == 0 {
         // Trailers, then an empty line.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,8 +5,10 @@
 //! - `NAME >> WORDS`: sends a command, or a chunk of discovery's; `NAME > TEXT`: sends bytes as they are.
 //! - `NAME << WORDS`, `NAME < TEXT`: expects just that; `#` stands for some digits in words.
 //! - `NAME close`, `NAME closed`: closes, expects the end. `term`, `exit`: SIGTERM, expects a clean end.
+//! - `config POINTER WORD`: replaces the file, `hup`: SIGHUP, `log TEXT`: waits for a line of the log.
 //!
-//! `c1` is a client's first connection, `a2` the second that node `a` accepted; `{a}` is the address of `a`.
+//! `c1` is a client's first connection, `a2` the second that node `a` accepted; `{a}` is the address of `a`; `d` and
+//! `e` are discovery's.
 
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -15,6 +17,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 /// No step waits longer; far more than any needs.
@@ -25,6 +28,9 @@
     listen: String,
     listeners: BTreeMap<String, TcpListener>,
     connections: BTreeMap<String, TcpStream>,
+    config: serde_json::Value,
+    path: PathBuf,
+    log: Receiver<String>,
 }
 
 impl Drop for Play {
@@ -81,7 +87,7 @@
         let line = |word: &'static str| script.lines().filter_map(move |l| l.strip_prefix(word));
         let names: Vec<&str> = line("nodes ").next().expect("a line of nodes").split(' ').collect();
         let bind = |n: &&str| (n.to_string(), TcpListener::bind("127.0.0.1:0").expect("a port"));
-        let listeners: BTreeMap<_, _> = names.iter().chain(&["d"]).map(bind).collect();
+        let listeners: BTreeMap<_, _> = names.iter().chain(&["d", "e"]).map(bind).collect();
         let list =
             names.iter().map(|n| member(n, &local(&listeners[*n]), "SERVING")).collect::<Vec<_>>().join(",");
         let text = read_to_string("tests/exchanges/config.json").expect("the configuration");
@@ -102,8 +108,10 @@
         let listen =
             told.split("listening on ").nth(1).and_then(|t| t.split(',').next()).expect("its address");
         let listen = listen.to_owned();
-        std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| println!("{l}")));
-        let mut play = Play { program, listen, listeners, connections: BTreeMap::new() };
+        let (said, heard) = std::sync::mpsc::channel();
+        std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(said.send(l))));
+        let connections = BTreeMap::new();
+        let mut play = Play { program, listen, listeners, connections, config, path, log: heard };
         let head = format!(
             "GET /registry/instances?watch=1&after=1 HTTP/1.1\\r\\nHost: {}\\r\\n\\r\\n",
             local(&play.listeners["d"])
@@ -158,12 +166,20 @@
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         match (name, verb) {
             ("" | "#" | "nodes" | "set", _) => {}
-            ("term", _) => {
-                let kill = Command::new("kill").args(["-TERM", &self.program.id().to_string()]).status();
+            ("term" | "hup", _) => {
+                let signal = format!("-{}", name.to_uppercase());
+                let kill = Command::new("kill").args([&signal, &self.program.id().to_string()]).status();
                 assert!(kill.expect("kill").success());
             }
+            ("config", pointer) => {
+                *self.config.pointer_mut(pointer).expect("a setting") = text.into();
+                write(&self.path, self.config.to_string()).expect("a file");
+            }
+            ("log", _) => {
+                while !self.log.recv_timeout(PATIENCE).expect("a line of the log").contains(rest) {}
+            }
             ("exit", _) => assert!(self.program.wait().expect("an end").success()),
-            ("d1" | "d2", ">>") => {
+            ("d1" | "d2" | "e1", ">>") => {
                 let text = format!("{text}\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 self.connection(name).write_all(chunk.as_bytes()).expect("sent");
