Reread the configuration on SIGHUP and watch the discovery it names

Seen: reload 0.00, 'exited with 129': src/owner.rs subscribed to SIGTERM and SIGINT alone, so SIGHUP ended it. Now the file is read again; discovery takes effect at once with a watch on the whole list (the new one's revisions are its own), streams, pools and the module live on; a bad file is logged and changes nothing.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -98,6 +98,8 @@
     /// A list, or `None` for a sign of life.
     Cluster(Option<Cluster>),
     WatchEnded,
+    /// Discovery is to be found elsewhere now.
+    Moved,
 }
 
 #[derive(Debug)]
@@ -199,7 +201,8 @@
     events: VecDeque<Event>,
     effects: Vec<Effect>,
     last_id: u64,
-    revision: u64,
+    /// The last revision told by the discovery that is watched now, or known at the start.
+    revision: Option<u64>,
     heard: Micros,
     told: bool,
     pub counters: Counters,
@@ -217,7 +220,7 @@
             events: VecDeque::new(),
             effects: Vec::new(),
             last_id: 0,
-            revision: known.revision,
+            revision: Some(known.revision),
             heard: now,
             told: false,
             counters: Counters::default(),
@@ -225,7 +228,7 @@
         };
         core.cluster(known, ListForm::Cached);
         core.wheel.insert(now + SWEEP, Due::Sweep);
-        core.effects.push(Effect::Watch { after: Some(core.revision) });
+        core.effects.push(Effect::Watch { after: core.revision });
         core.settle(now);
         core
     }
@@ -294,6 +297,11 @@
                 }
                 self.wheel.insert(now + REWATCH, Due::Rewatch);
             }
+            Input::Moved => {
+                // The new one counts its revisions for itself, so the whole list is asked for.
+                (self.heard, self.revision) = (now, None);
+                self.effects.push(Effect::Watch { after: None });
+            }
         }
         self.settle(now);
     }
@@ -337,11 +345,11 @@
                     if now - self.heard > SILENCE {
                         self.heard = now;
                         self.effects.push(Effect::Note("discovery is silent: watching anew".into()));
-                        self.effects.push(Effect::Watch { after: Some(self.revision) });
+                        self.effects.push(Effect::Watch { after: self.revision });
                     }
                     self.wheel.insert(now + SWEEP, Due::Sweep);
                 }
-                Due::Rewatch => self.effects.push(Effect::Watch { after: Some(self.revision) }),
+                Due::Rewatch => self.effects.push(Effect::Watch { after: self.revision }),
             }
             self.settle(now);
         }
@@ -633,7 +641,7 @@
     // ---- the cluster
 
     fn cluster(&mut self, list: Cluster, form: ListForm) {
-        self.revision = list.revision;
+        self.revision = Some(list.revision);
         for c in self.pool.listed(&list.nodes, form != ListForm::Delta) {
             self.close(c);
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,17 +31,17 @@
     }
     let level = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(level).format_target(false).init();
-    let config = match path.as_deref().map(config::load) {
-        None => return fail("no configuration: name a file or set NODE_CONFIG"),
-        Some(Err(what)) => return fail(&what),
-        Some(Ok(_)) if check => {
+    let Some(path) = path else { return fail("no configuration: name a file or set NODE_CONFIG") };
+    let config = match config::load(&path) {
+        Err(what) => return fail(&what),
+        Ok(_) if check => {
             println!("the configuration is fine");
             return ExitCode::SUCCESS;
         }
-        Some(Ok(config)) => config,
+        Ok(config) => config,
     };
     let executor = Rc::new(LocalExecutor::new());
-    match async_io::block_on(executor.run(owner::run(config, executor.clone()))) {
+    match async_io::block_on(executor.run(owner::run(config, path, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => fail(&what),
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,10 @@
     Crowded,
     /// A local fault worth a line in the log.
     Note(String),
-    Signal,
+    /// A planned end.
+    End,
+    /// The configuration has been replaced.
+    Reload,
 }
 
 pub type Queue = async_channel::Sender<News>;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the core, and with it the module: takes news from the sockets, carries out effects,
 //! and holds the task of every connection, each of which is dropped in one place.
 
-use crate::config::Config;
+use crate::config::{self, Config};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -101,6 +101,8 @@
     site: Rc<Site>,
     columns: Rc<Vec<String>>,
     words: Rc<Vocabulary>,
+    /// The configuration file, and what of it a reload may change.
+    path: String,
     discovery: std::net::SocketAddr,
     downstreams: HashMap<DownstreamId, Downstream>,
     upstreams: HashMap<ConnectionId, Upstream>,
@@ -117,10 +119,11 @@
     ending: Option<Ending>,
 }
 
-pub async fn run(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+pub async fn run(config: Config, path: String, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let listener = Async::<TcpListener>::bind(config.listen);
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
     let (queue, news) = async_channel::bounded(QUEUE);
     let (room, wait_for_room) = async_channel::bounded(1);
@@ -136,6 +139,7 @@
         words: Rc::new(Vocabulary { site: site.clone(), ready: false.into() }),
         columns: Rc::new(site.columns.clone()),
         site,
+        path,
         discovery: config.discovery,
         downstreams: HashMap::new(),
         upstreams: HashMap::new(),
@@ -154,8 +158,9 @@
         queue: queue.clone(),
     };
     let _signals = executor.spawn(async move {
-        while signals.next().await.is_some() {
-            let _ = queue.send(News::Signal).await;
+        while let Some(signal) = signals.next().await {
+            let news = if matches!(signal, Ok(Signal::Hup)) { News::Reload } else { News::End };
+            let _ = queue.send(news).await;
         }
     });
     owner.work(&news).await;
@@ -212,14 +217,28 @@
             News::Accepted(socket) => self.accepted(now, socket),
             News::Crowded => self.close_idle_downstream(),
             News::Note(text) => warn!("{text}"),
-            News::Signal if self.ending.is_some() => {}
-            News::Signal => {
+            News::Reload => self.reload(now),
+            News::End if self.ending.is_some() => {}
+            News::End => {
                 info!("told to end: {} streams open", self.core.open_streams());
                 self.ending = Some(Ending { since: now, finishing: None, last_accepted: now });
             }
         }
     }
 
+    /// Reads the configuration again. Only `discovery` takes effect: streams, connections and what the module
+    /// has learnt live on.
+    fn reload(&mut self, now: Micros) {
+        match config::load(&self.path) {
+            Ok(config) => {
+                info!("reloaded: discovery at {}", config.discovery);
+                self.discovery = config.discovery;
+                self.core.input(now, Input::Moved);
+            }
+            Err(what) => warn!("not reloaded, the old configuration stays: {what}"),
+        }
+    }
+
     fn accepted(&mut self, now: Micros, socket: Async<TcpStream>) {
         if let Some(ending) = &mut self.ending {
             ending.last_accepted = now;
