--- a/src/codec/http.rs
+++ b/src/codec/http.rs
@@ -4,6 +4,8 @@
 
 const LINE: usize = 8 * 1024;
 const HEADERS: usize = 64;
+/// Responses with a status of 1xx before the final one.
+const INTERIM: usize = 8;
 /// The most bytes of a head: a peer that has sent more without ending it is malformed.
 pub const HEAD: usize = 16 * 1024;
 
@@ -114,9 +116,26 @@
     }
 }
 
+/// The head of the final response: interim ones (1xx) may come before it, a few of them.
+fn final_head(bytes: &[u8], most: usize) -> Parsed<Head> {
+    let mut at = 0;
+    for _ in 0..=INTERIM {
+        let Some((head, taken)) = head(&bytes[at..], most)? else { return Ok(None) };
+        at += taken;
+        match head.status {
+            // An upgrade that nobody asked for.
+            101 => return Err(Malformed("an invalid status")),
+            100..=199 => {}
+            200.. => return Ok(Some((head, at))),
+            _ => return Err(Malformed("an invalid status")),
+        }
+    }
+    Err(Malformed("too many interim responses"))
+}
+
 /// A whole response with a body of at most `most`; `None` for one that only the connection's end completes.
 pub fn response(bytes: &[u8], most: usize) -> Parsed<(Head, Vec<u8>)> {
-    let Some((head, mut at)) = head(bytes, most)? else { return Ok(None) };
+    let Some((head, mut at)) = final_head(bytes, most)? else { return Ok(None) };
     match head.framing {
         Framing::Length(n) => match bytes.get(at..at + n) {
             Some(body) => Ok(Some(((head, body.to_vec()), at + n))),
--- a/src/codec/mod.rs
+++ b/src/codec/mod.rs
@@ -31,13 +31,17 @@
 }
 
 /// A load report (`inflight=7,util=0.61`) as the values of `columns`; not a number where one is absent.
-/// Empty where nothing in the text is a report.
+/// Empty where nothing in the text is a report, or one of the values is no load.
 pub fn report(text: &[u8], columns: &[String]) -> Vec<f32> {
     let text = std::str::from_utf8(text).unwrap_or("");
     let mut values = vec![f32::NAN; columns.len()];
     for (name, value) in text.split([',', ' ']).filter_map(|pair| pair.split_once('=')) {
         let at = columns.iter().position(|c| c == name.trim());
-        at.zip(value.trim().parse().ok()).into_iter().for_each(|(at, x)| values[at] = x);
+        let Some(at) = at else { continue };
+        match value.trim().parse::<f32>() {
+            Ok(x) if x.is_finite() && x >= 0.0 => values[at] = x,
+            _ => return Vec::new(),
+        }
     }
     if values.iter().all(|x| x.is_nan()) {
         Vec::new()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 use crate::codec::discovery::Cluster;
 use crate::interface::*;
 use pool::Pool;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wheel::Wheel;
@@ -56,6 +56,8 @@
     /// A local reply: refused, come again after this time.
     Busy(Option<Micros>),
     Failed,
+    /// Not taken: its id is that of an open stream.
+    Taken,
 }
 
 /// What goes out on a connection.
@@ -195,6 +197,8 @@
     wheel: Wheel<Due>,
     streams: HashMap<RequestId, Stream>,
     by_downstream: BTreeSet<(DownstreamId, RequestId)>,
+    /// The ids of open streams as downstreams gave them; none where a protocol has no ids.
+    ids: HashSet<Vec<u8>>,
     upstream: HashMap<UpstreamId, UpstreamRequest>,
     pool: Pool,
     /// What the module has yet to hear.
@@ -215,6 +219,7 @@
             wheel: Wheel::new(settings.period, now),
             streams: HashMap::new(),
             by_downstream: BTreeSet::new(),
+            ids: HashSet::new(),
             upstream: HashMap::new(),
             pool: Pool::new(most_connections, settings.keep_alive),
             events: VecDeque::new(),
@@ -401,6 +406,12 @@
     fn ask(&mut self, now: Micros, ask: Ask) {
         let id = RequestId(self.id());
         self.counters.taken += 1;
+        // A node would take the second for a repeat, and one's answer could come to the other.
+        if self.ids.contains(&ask.message.id) {
+            self.counters.failed += 1;
+            let Ask { downstream, place, .. } = ask;
+            return self.effects.push(Effect::Answer { downstream, place, answer: Answer::Taken });
+        }
         // A tick early: timers are coarse, and the answer has a way to go.
         let deadline = now + (ask.patience - self.settings.period).max(0);
         if self.streams.len() >= self.settings.max_open as usize {
@@ -411,6 +422,9 @@
         }
         let write = ask.message.value.is_some();
         let (downstream, place, message) = (ask.downstream, ask.place, ask.message);
+        if !message.id.is_empty() {
+            self.ids.insert(message.id.clone());
+        }
         self.streams.insert(id, Stream { downstream, place, deadline, attempts: 0, message });
         self.by_downstream.insert((downstream, id));
         self.wheel.insert(now + ask.patience.max(0) + OVERDUE, Due::Overdue(id));
@@ -430,6 +444,7 @@
     fn end_stream(&mut self, id: RequestId) -> Option<Stream> {
         let stream = self.streams.remove(&id)?;
         self.by_downstream.remove(&(stream.downstream, id));
+        self.ids.remove(&stream.message.id);
         Some(stream)
     }
 
@@ -438,7 +453,7 @@
         match answer {
             Answer::Value(_) => self.counters.served += 1,
             Answer::Busy(_) => self.counters.refused += 1,
-            Answer::Failed => self.counters.failed += 1,
+            Answer::Failed | Answer::Taken => self.counters.failed += 1,
         }
         self.effects.push(Effect::Answer { downstream, place, answer });
     }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -1,13 +1,13 @@
 //! The clients' side: RESP commands in, answers out in the order of the commands.
 
-use super::{tell, News, Queue};
+use super::{consume, read, tell, News, Queue};
 use crate::codec::{discovery, resp};
 use crate::core::{Answer, Ask, DownstreamId, Input, Message};
 use crate::interface::*;
 use crate::settings::Site;
 use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io;
@@ -16,9 +16,11 @@
 
 /// Streams that one downstream may have open, and bytes it may leave unread before no more are taken.
 pub const STREAMS: usize = 16;
+/// The longest `d` that makes sense, in ms: an hour.
+const LONGEST: f64 = 3.6e6;
 const UNREAD: usize = 256 * 1024;
-/// Most bytes read at once.
-const READ: usize = 16 * 1024;
+/// Bytes that a downstream may still send once it is told that no more is read.
+const FAREWELL: usize = 256 * 1024;
 
 /// What the owner tells a downstream. The queue is longer than a downstream can have streams open.
 #[derive(Debug)]
@@ -28,14 +30,33 @@
     Finish,
 }
 
-/// What the owner may look at from outside: since when bytes have waited on the peer (a partial command, or
-/// answers it does not read), in the owner's sweeps, and whether it can be closed unseen.
+/// What a downstream is up to, for the owner's sweeps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Waits {
+    /// For its first whole command, or for the rest of one.
+    #[default]
+    Command,
+    /// For the peer to read its answers.
+    Peer,
+    /// For the peer to close in its turn.
+    Close,
+    /// For the answer to a stream.
+    Answer,
+    /// For nothing: it may send another command.
+    Nothing,
+}
+
 #[derive(Debug, Default)]
 pub struct Progress {
-    pub stuck: Cell<bool>,
-    /// Answers are not written out.
-    pub unread: Cell<bool>,
-    pub moved: Cell<bool>,
+    pub waits: Cell<Waits>,
+    /// Whole commands taken and writes done: a drip of bytes is no step.
+    pub steps: Cell<u64>,
+}
+
+impl Progress {
+    fn step(&self) {
+        self.steps.set(self.steps.get() + 1);
+    }
 }
 
 /// What commands are read with.
@@ -116,8 +137,13 @@
             return Err("invalid key, id or properties");
         }
         let text = std::str::from_utf8(&properties).unwrap_or_default();
-        let pairs = || text.split(',').filter_map(|pair| pair.split_once('='));
-        let value_of = |key: &str| pairs().find(|(name, _)| *name == key).map(|(_, value)| value);
+        let pairs: Vec<_> = text.split(',').filter_map(|pair| pair.split_once('=')).collect();
+        // A name twice is two requests in one: a node could go by the other than this proxy.
+        let twice = |i: usize| pairs[..i].iter().any(|(name, _)| *name == pairs[i].0);
+        if pairs.len() != text.split(',').count() || (0..pairs.len()).any(twice) {
+            return Err("invalid properties");
+        }
+        let value_of = |key: &str| pairs.iter().find(|(name, _)| *name == key).map(|(_, value)| *value);
         let class = value_of("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
         let class = class.ok_or("unknown class")?;
         let tenant = match value_of("t") {
@@ -125,8 +151,9 @@
             None => return Err("no tenant"),
             Some(t) => self.site.tenants.iter().position(|n| n == t).ok_or("unknown tenant")?,
         };
-        let patience = value_of("d").and_then(|d| d.parse::<f64>().ok()).filter(|d| (0.0..1e9).contains(d));
-        let patience = patience.ok_or("invalid d")?;
+        let digits = |d: &&str| d.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        let patience = value_of("d").filter(digits).and_then(|d| d.parse::<f64>().ok());
+        let patience = patience.filter(|d| (1.0..=LONGEST).contains(d)).ok_or("invalid d")?;
         let hint = value_of("hint").and_then(|h| h.parse::<f64>().ok()).filter(|h| *h > 0.0 && h.is_finite());
         Ok(Ask {
             downstream,
@@ -185,9 +212,8 @@
         words: &Vocabulary,
         progress: &Progress,
     ) {
-        let mut chunk = vec![0; READ];
         loop {
-            self.commands(queue, words).await;
+            self.commands(queue, words, progress).await;
             while let Ok(order) = orders.try_recv() {
                 self.order(order);
             }
@@ -197,15 +223,19 @@
             }
             let unread = self.written < self.output.len();
             if self.ending && !unread && self.answers.is_empty() {
-                // A peer that does not close in its turn counts as stuck.
-                progress.stuck.set(true);
-                return self.finish(&mut chunk).await;
+                progress.waits.set(Waits::Close);
+                return self.finish().await;
             }
-            progress.unread.set(unread);
-            progress.stuck.set(unread || (self.answers.is_empty() && !self.input.is_empty()));
+            progress.waits.set(match progress.steps.get() {
+                _ if unread => Waits::Peer,
+                _ if !self.answers.is_empty() => Waits::Answer,
+                0 => Waits::Command,
+                _ if !self.input.is_empty() => Waits::Command,
+                _ => Waits::Nothing,
+            });
             let full = self.answers.len() >= STREAMS || self.output.len() > UNREAD;
             let reads = !full && self.input.len() < resp::COMMAND;
-            let (mut reader, mut writer) = (&self.socket, &self.socket);
+            let mut writer = &self.socket;
             let write = async {
                 match unread {
                     true => Woken::Wrote(writer.write(&self.output[self.written..]).await),
@@ -214,7 +244,7 @@
             };
             let read = async {
                 match reads {
-                    true => Woken::Read(reader.read(&mut chunk).await),
+                    true => Woken::Read(read(&self.socket, &mut self.input).await),
                     false => future::pending().await,
                 }
             };
@@ -222,18 +252,17 @@
             match future::or(write, future::or(order, read)).await {
                 Woken::Order(Some(order)) => self.order(order),
                 Woken::Wrote(Ok(n)) if n > 0 => {
-                    progress.moved.set(true);
+                    progress.step();
                     self.written += n;
                     if self.written == self.output.len() {
-                        self.output.clear();
+                        consume(&mut self.output, self.written);
                         self.written = 0;
                     }
                 }
                 // A second reading of the end after `ending` must not spin: who is gone is gone.
                 Woken::Read(Ok(n)) if n > 0 => {
-                    progress.moved.set(true);
-                    if !self.ending {
-                        self.input.extend_from_slice(&chunk[..n]);
+                    if self.ending {
+                        self.input.clear();
                     }
                 }
                 _ => return,
@@ -242,7 +271,7 @@
     }
 
     /// Takes the whole commands that have come, as far as there is room for their answers.
-    async fn commands(&mut self, queue: &Queue, words: &Vocabulary) {
+    async fn commands(&mut self, queue: &Queue, words: &Vocabulary, progress: &Progress) {
         let mut at = 0;
         while !self.ending && self.answers.len() < STREAMS && at < self.input.len() {
             let place = self.first + self.answers.len() as u64;
@@ -250,6 +279,7 @@
                 Ok(None) => break,
                 Ok(Some((command, taken))) => {
                     at += taken;
+                    progress.step();
                     match words.parse(self.id, place, command) {
                         Parsed::Local(answer) => self.answers.push_back(Some(answer)),
                         Parsed::Close(answer) => {
@@ -268,7 +298,7 @@
                 }
             }
         }
-        self.input.drain(..at);
+        consume(&mut self.input, at);
     }
 
     fn order(&mut self, order: Order) {
@@ -283,6 +313,7 @@
                     }
                     Answer::Busy(_) => resp::put_error(&mut out, "BUSY"),
                     Answer::Failed => resp::put_error(&mut out, "ERR failed"),
+                    Answer::Taken => resp::put_error(&mut out, "ERR the id of an open request"),
                 }
                 if let Some(owed) = self.answers.get_mut(place.wrapping_sub(self.first) as usize) {
                     *owed = Some(out);
@@ -292,10 +323,17 @@
     }
 
     /// Says that no more will come, and reads on until the peer has closed too: closing with bytes unread
-    /// would reset the connection and could take an answer with it.
-    async fn finish(&mut self, chunk: &mut [u8]) {
+    /// would reset the connection and could take an answer with it. Who goes on sending all the same is cut off.
+    async fn finish(&mut self) {
         let _ = self.socket.get_ref().shutdown(std::net::Shutdown::Write);
-        let mut reader = &self.socket;
-        while reader.read(chunk).await.is_ok_and(|n| n > 0) {}
+        let mut left = FAREWELL;
+        self.input = Vec::new();
+        while let Ok(n @ 1..) = read(&self.socket, &mut self.input).await {
+            self.input.clear();
+            left = left.saturating_sub(n);
+            if left == 0 {
+                return;
+            }
+        }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,8 +8,19 @@
 
 use crate::core::Input;
 use async_io::Async;
+use futures_lite::future;
+use std::cell::RefCell;
+use std::io::{self, Read};
 use std::net::TcpStream;
 
+/// Most bytes read at once.
+const READ: usize = 16 * 1024;
+
+thread_local! {
+    /// Where all sockets read: one at a time does, on the one thread, and keeps only what has come.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
+}
+
 /// What sockets tell the one task that owns the core.
 #[derive(Debug)]
 pub enum News {
@@ -37,3 +48,29 @@
 pub(crate) async fn tell(queue: &Queue, news: impl Into<News>) {
     let _ = queue.send(news.into()).await;
 }
+
+/// Appends what has come to `input`; 0 at the end. A peer that sends without a pause must not keep the others
+/// from their turn.
+pub(crate) async fn read(socket: &Async<TcpStream>, input: &mut Vec<u8>) -> io::Result<usize> {
+    let n = socket
+        .read_with(|mut s| {
+            SCRATCH.with_borrow_mut(|scratch| {
+                let n = s.read(scratch)?;
+                input.extend_from_slice(&scratch[..n]);
+                Ok(n)
+            })
+        })
+        .await?;
+    if n == READ {
+        future::yield_now().await;
+    }
+    Ok(n)
+}
+
+/// Takes `n` bytes off the front, and gives back what a long message took once it is read.
+pub(crate) fn consume(input: &mut Vec<u8>, n: usize) {
+    input.drain(..n);
+    if input.is_empty() && input.capacity() > READ / 4 {
+        *input = Vec::new();
+    }
+}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,18 +1,16 @@
 //! Connections to nodes: one upstream request at a time on each, the pool of them is the core's.
 
-use super::{origin, tell, News, Queue};
+use super::{consume, origin, read, tell, News, Queue};
 use crate::codec::{self, resp, Malformed, Parsed};
 use crate::core::{ConnectionId, Input, Job, Reply, Stage};
 use crate::interface::Verdict;
 use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-const READ: usize = 16 * 1024;
-
 /// What a node speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Dialect {
@@ -61,29 +59,34 @@
     }
 }
 
+/// How a read went, as the module counts it; `None` for a word that no node says.
+fn note(how: Option<&[u8]>) -> Option<u32> {
+    let words: [&[u8]; 3] = [b"hit", b"miss", b"pending"];
+    how.map_or(Some(0), |how| words.iter().position(|w| *w == how).map(|at| at as u32 + 1))
+}
+
 fn reply(reply: resp::Reply, probe: bool, columns: &[String]) -> Reply {
     let mut r = Reply { verdict: Verdict::Error, value: Vec::new(), note: 0, report: Vec::new(), keep: true };
     match reply {
-        resp::Reply::Array(items) if !probe => {
-            let mut items = items.into_iter();
-            let mut item = || items.next().flatten();
-            let (value, how, report) = (item(), item(), item());
-            r.verdict = if value.is_some() { Verdict::Served } else { Verdict::Miss };
-            r.value = value.unwrap_or_default();
-            r.note = match how.as_deref() {
-                Some(b"hit") => 1,
-                Some(b"miss") => 2,
-                Some(b"pending") => 3,
-                _ => 0,
-            };
-            r.report = report.map_or_else(Vec::new, |t| codec::report(&t, columns));
-        }
+        resp::Reply::Array(items) if !probe => match <[_; 3]>::try_from(items) {
+            Ok([value, how, report]) if note(how.as_deref()).is_some() => {
+                r.verdict = if value.is_some() { Verdict::Served } else { Verdict::Miss };
+                r.value = value.unwrap_or_default();
+                r.note = note(how.as_deref()).unwrap_or_default();
+                r.report = report.map_or_else(Vec::new, |t| codec::report(&t, columns));
+            }
+            // No answer that a node makes: a miss would be taken for a proof that nothing ran.
+            _ => r.keep = false,
+        },
         resp::Reply::Bulk(Some(text)) if probe => {
             r.verdict = Verdict::Served;
             r.report = codec::report(&text, columns);
         }
         resp::Reply::Error(text) => {
-            r.verdict = if text.starts_with(b"BUSY") { Verdict::Full } else { Verdict::Error };
+            let code = text.split(|b| *b == b' ').next().unwrap_or_default();
+            r.verdict = if code == b"BUSY" { Verdict::Full } else { Verdict::Error };
+            // What only looks like an error line is noise, and more of it may follow.
+            r.keep = !code.is_empty() && code.iter().all(u8::is_ascii_uppercase);
             r.report = codec::report(&text, columns);
         }
         // Nothing a node says to such a job: it may have run, and the connection is out of step.
@@ -153,18 +156,16 @@
         self.dialect.put(&mut out, job, self.address);
         let mut writer = &self.socket;
         writer.write_all(&out).await.map_err(|_| (Stage::Writing, None))?;
-        let mut chunk = [0; READ];
         loop {
-            let read = (&self.socket).read(&mut chunk).await;
-            match read {
-                Ok(n) if n > 0 => self.input.extend_from_slice(&chunk[..n]),
+            match read(&self.socket, &mut self.input).await {
+                Ok(1..) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 _ => return Err((Stage::Reading, None)),
             }
             let probe = matches!(job, Job::Probe);
             let parsed = self.dialect.reply(&self.input, probe, &self.columns);
             if let Some((reply, taken)) = parsed.map_err(|m| (Stage::Reading, Some(m)))? {
-                self.input.drain(..taken);
+                consume(&mut self.input, taken);
                 return Ok(reply);
             }
         }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 use martenweir::core::{ConnectionId, Core, DownstreamId, Effect, Input, Job};
 use martenweir::interface::Micros;
-use martenweir::net::downstream::{self, Order, Progress, Vocabulary};
+use martenweir::net::downstream::{self, Order, Progress, Vocabulary, Waits};
 use martenweir::net::upstream::{self, Dialect};
 use martenweir::net::{cluster, News, Queue};
 use martenweir::settings::Site;
@@ -25,9 +25,14 @@
 const AT_ONCE: usize = 256;
 /// Descriptors for what is neither downstream nor upstream: listener, discovery, poller, standard streams.
 const RESERVE: usize = 32;
-/// A downstream that leaves bytes unread or a command unfinished for this long is closed.
-const STUCK: Micros = 5_000_000;
-const SWEEP: Micros = 500_000;
+/// A downstream that sends no whole command for this long after it has connected, or begun one, is closed; so is
+/// one that reads no answers, and one that has nothing to do at all.
+const UNFINISHED: Micros = 2_000_000;
+const UNREAD: Micros = 5_000_000;
+const IDLE: Micros = 60_000_000;
+const SWEEP: Micros = 250_000;
+/// Lines told at the most between two of figures about peers that misbehave.
+const NOTES: u64 = 20;
 /// How often the log tells the figures.
 const FIGURES: Micros = 10_000_000;
 /// Ready without discovery's word this long after the start, if a list was known.
@@ -41,7 +46,7 @@
 const END_MOST: Micros = 3_000_000;
 const END_MORE: Micros = 300_000;
 /// How long downstreams that were told to finish have to close in their turn.
-const GOODBYE: Micros = 300_000;
+const GOODBYE: Micros = 500_000;
 
 /// The clock of the module: Unix time at the start, running on evenly.
 struct Clock {
@@ -67,7 +72,8 @@
 struct Downstream {
     orders: Sender<Order>,
     progress: Rc<Progress>,
-    /// When it last moved, as seen by the sweeps.
+    /// What it was last seen at by the sweeps, and since when.
+    seen: (Waits, u64),
     moved: Micros,
     finishing: bool,
     _task: Task<()>,
@@ -76,7 +82,7 @@
 impl Downstream {
     /// Answers on their way to it are not written out.
     fn owed(&self) -> bool {
-        !self.orders.is_empty() || self.progress.unread.get()
+        !self.orders.is_empty() || self.progress.waits.get() == Waits::Peer
     }
 }
 
@@ -117,6 +123,9 @@
     swept: Micros,
     told_figures: Micros,
     ending: Option<Ending>,
+    /// Lines about peers since the last figures, and downstreams closed for their silence since the start.
+    notes: u64,
+    closed: u64,
 }
 
 pub async fn run(config: Config, path: String, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
@@ -153,6 +162,8 @@
         swept: now,
         told_figures: now,
         ending: None,
+        notes: 0,
+        closed: 0,
         clock,
         executor: executor.clone(),
         queue: queue.clone(),
@@ -216,7 +227,12 @@
             }
             News::Accepted(socket) => self.accepted(now, socket),
             News::Crowded => self.close_idle_downstream(),
-            News::Note(text) => warn!("{text}"),
+            News::Note(text) => {
+                self.notes += 1;
+                if self.notes <= NOTES {
+                    warn!("{text}");
+                }
+            }
             News::Reload => self.reload(now),
             News::End if self.ending.is_some() => {}
             News::End => {
@@ -250,7 +266,14 @@
         let (queue, words) = (self.queue.clone(), self.words.clone());
         let serve = downstream::serve(id, socket, ordered, queue, words, progress.clone());
         let task = self.executor.spawn(serve);
-        let one = Downstream { orders, progress, moved: now, finishing: false, _task: task };
+        let one = Downstream {
+            orders,
+            progress,
+            seen: Default::default(),
+            moved: now,
+            finishing: false,
+            _task: task,
+        };
         self.downstreams.insert(id, one);
         if self.downstreams.len() >= self.most_downstreams {
             self.gate.set(true);
@@ -260,7 +283,7 @@
 
     /// Makes room: the downstream without a stream that has been quiet longest.
     fn close_idle_downstream(&mut self) {
-        let idle = self.downstreams.iter().filter(|(id, _)| !self.core.busy(**id));
+        let idle = self.downstreams.iter().filter(|(id, d)| !self.core.busy(**id) && !d.owed());
         if let Some(id) = idle.min_by_key(|(_, d)| d.moved).map(|(id, _)| *id) {
             self.drop_downstream(id);
         }
@@ -314,19 +337,29 @@
         }
         let mut stuck = Vec::new();
         for (id, d) in &mut self.downstreams {
-            if d.progress.moved.take() || (!d.progress.stuck.get() && !d.finishing) {
+            let seen = (d.progress.waits.get(), d.progress.steps.get());
+            let longest = match seen.0 {
+                Waits::Command => UNFINISHED,
+                Waits::Peer => UNREAD,
+                Waits::Close => GOODBYE,
+                Waits::Nothing => IDLE,
+                Waits::Answer => Micros::MAX,
+            };
+            if std::mem::replace(&mut d.seen, seen) != seen {
                 d.moved = now;
-            } else if now - d.moved >= STUCK {
+            } else if now - d.moved >= longest {
                 stuck.push(*id);
             }
         }
-        for id in stuck {
-            info!("downstream {} is stuck: closed", id.0);
-            self.drop_downstream(id);
-        }
+        self.closed += stuck.len() as u64;
+        stuck.into_iter().for_each(|id| self.drop_downstream(id));
         if now - self.told_figures >= FIGURES {
             self.told_figures = now;
             self.figures();
+            let left_out = std::mem::take(&mut self.notes).saturating_sub(NOTES);
+            if left_out > 0 {
+                warn!("{left_out} more lines about peers left out");
+            }
         }
     }
 
@@ -334,7 +367,7 @@
         let (c, core) = (self.core.counters, &self.core);
         info!(
             "taken {} served {} refused {} failed {} left {} overdue {}; upstream {} probes {} dials {} \
-             timeouts {} unconnected {} resets {}; open: downstreams {} streams {} connections {}",
+             timeouts {} unconnected {} resets {} silent {}; open: downstreams {} streams {} connections {}",
             c.taken,
             c.served,
             c.refused,
@@ -347,6 +380,7 @@
             c.timeouts,
             c.unconnected,
             c.resets,
+            self.closed,
             self.downstreams.len(),
             core.open_streams(),
             core.open_connections(),
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -4,6 +4,7 @@
 use martenweir::core::{ConnectionId, Input, Job, Stage};
 use martenweir::net::upstream::{carry, Dialect};
 use martenweir::net::News;
+use rstest::rstest;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -33,3 +34,18 @@
     }));
     assert!(matches!(ended, Ok(News::Core(Input::Broken(_, Stage::Idle)))));
 }
+
+/// Guards the module's beliefs: a report with a value that is no load counts for nothing, not even in part.
+#[rstest]
+#[case("eps=0.5,util=0.61", &[0.5, 0.61])]
+#[case("ERR failed util=1", &[f32::NAN, 1.0])]
+#[case("eps=0.5,util=inf", &[])]
+#[case("eps=0.5,util=nan", &[])]
+#[case("eps=-1,util=0.61", &[])]
+#[case("eps=0.5,util=0.6x", &[])]
+#[case("ERR failed", &[])]
+fn a_report_is_whole_or_none(#[case] text: &str, #[case] values: &[f32]) {
+    let read = martenweir::codec::report(text.as_bytes(), &["eps".to_owned(), "util".to_owned()]);
+    let same = |(a, b): (&f32, &f32)| a == b || (a.is_nan() && b.is_nan());
+    assert!(read.len() == values.len() && read.iter().zip(values).all(same), "{read:?}");
+}
