Try elsewhere what a silent connection holds; widen the way to a healthy origin

A trace of each refusal (time, attempts, queue, limit): 4100 of 4600 had one Miss and ran out of time in a queue of up to 200 for the origin, whose limit stood at 7 to 10 while it answered at once. At fault in src/choice.rs: origin_ended() cut the limit by a tenth for each broken or silent answer; outcome() finished a request at every time-out, so attempts waited their whole time on a silent connection; judge() then took its node for swamped; fetch() put the leader of a failed fetch behind one who was in no queue, and all waited till their time was up; a client that left counted as an answer owed. Ruled out: the module's refusals under strain (surplus -0.3, failing 0.03), quotas, max_open. The window and the shares, both arithmetic, went to src/state.rs.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,7 @@
 //! what is kept of the paper's mechanism, what departs from it and when each departure acts.
 
 use crate::interface::*;
+pub use crate::state::shares;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -57,39 +58,9 @@
 /// Part of the outcomes failing from which the fault lies behind the fleet, and how many are looked at.
 const FAILING: f64 = 0.3;
 const FAILING_MEMORY: f64 = 50.0;
-/// Requests out at the origin at start, before its answers tell how many it takes, and at least.
-const ORIGIN_START: f64 = 4.0;
-const ORIGIN_LEAST: f64 = 0.3;
 const TICK: Token = Token(1 << 62);
 const ASK: Token = Token(1 << 61);
 
-impl Terms {
-    /// I = W_q/E[S] of the gathering queue, by Eq. 3.
-    pub fn index(&self) -> f64 {
-        self.rho / (1.0 - self.rho) * (self.arrival_scv + self.service_scv) / 2.0
-    }
-}
-
-/// Each candidate's part of the key's spread traffic, the gathering queue first. Eq. 2 gives C_D^2 of the
-/// gathering queue; from R_i = 1/d Eq. 4 gives C_i^2, Eq. 5 the wait, Eq. 6 the queue; Eq. 7 averages the
-/// two ratios. R_i grows with the queue, so the part is (1 - R_i)/(d - 1).
-pub fn shares(terms: &[Terms]) -> Vec<f64> {
-    let d = terms.len() as f64;
-    if terms.len() < 2 {
-        return vec![1.0; terms.len()];
-    }
-    let g = terms[0];
-    let departures = g.rho * g.rho * g.service_scv + (1.0 - g.rho * g.rho) * g.arrival_scv;
-    let routed = departures / d + (1.0 - 1.0 / d);
-    let queue = |t: &Terms| t.rho * t.rho / (1.0 - t.rho) * (routed + t.service_scv) / 2.0;
-    let wait = |t: &Terms| t.service * t.rho / (1.0 - t.rho) * (routed + t.service_scv) / 2.0;
-    let (queues, waits) = (terms.iter().map(queue).sum::<f64>(), terms.iter().map(wait).sum::<f64>());
-    // An idle fleet has no queue and no wait to divide by: equal parts.
-    let ratio = |x: f64, sum: f64| if sum > 0.0 && sum.is_finite() { x / sum } else { 1.0 / d };
-    let r = |t: &Terms| (ratio(queue(t), queues) + ratio(wait(t), waits)) / 2.0;
-    terms.iter().map(|t| (1.0 - r(t)) / (d - 1.0)).collect()
-}
-
 #[derive(Default)]
 pub struct Balancer {
     settings: Settings,
@@ -113,6 +84,8 @@
     probes: f64,
     /// The part of its keys a server takes, on the mean.
     accepting: f64,
+    /// The time that few answers of the caches exceed.
+    long: Micros,
     /// Part of the attempts that got no connection, lately.
     unconnected: f64,
     /// Aside mode: the requests that wait for each key's fetch, its leader first; the queue for the origin,
@@ -122,9 +95,7 @@
     /// Keys in order: whose turn it is, and requests that are over while an attempt of theirs is out.
     turns: BTreeMap<Key, Turns>,
     lingering: BTreeMap<RequestId, Open>,
-    origin_limit: f64,
-    origin_next: Micros,
-    origin_time: Moments,
+    origin: Window,
     failed_calls: u32,
 }
 
@@ -132,8 +103,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let tenants = vec![Bucket { tokens: QUOTA_BURST, ..Bucket::default() }; settings.quotas.len()];
         let part = 1.0 / f64::from(settings.routers.max(1));
-        let (retries, origin_limit) = (RETRY_BURST, ORIGIN_START);
-        Balancer { rng: seed, tenants, part, retries, origin_limit, settings, ..Balancer::default() }
+        Balancer { rng: seed, tenants, part, retries: RETRY_BURST, settings, ..Balancer::default() }
     }
 
     fn random(&mut self) -> f64 {
@@ -147,7 +117,12 @@
             Event::Request(r) => self.request(now, r, out),
             Event::First { request, .. } => self.open.get_mut(&request).map_or((), |o| o.begun = true),
             Event::Outcome(o) => self.outcome(now, o, out),
-            Event::ClientLeft(id) => self.forget(now, id, out),
+            Event::ClientLeft(id) => {
+                // Nobody waits for its answer any more: it is none that the caches owe.
+                let owed = self.open.get(&id).filter(|o| !o.over && o.is_first_out());
+                self.wanted = (self.wanted - f64::from(u8::from(owed.is_some()))).max(0.0);
+                self.forget(now, id, out);
+            }
             Event::Timer(TICK) => {
                 self.refresh(now);
                 self.drain_origin(now, out);
@@ -244,7 +219,7 @@
         (self.wanted, self.answered) = (self.wanted * keep, self.answered * keep);
         self.hints.decay(keep);
         self.turns.retain(|_, t| !t.queue.is_empty() || t.rest > now);
-        self.origin_time.decay(keep);
+        self.origin.time.decay(keep);
         // A cold server's budget: what warm ones of its weight answer to this router (what is asked can be
         // more than any can do), times half the multiple that brings it down; half is for chance and misses.
         let rate = self.served_rate * (self.settings.fall_multiple / 2.0).max(1.0);
@@ -276,6 +251,7 @@
         }
         let prior = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64 / 4.0;
         let (service, service_scv) = latency.shrunk(PRIOR_SAMPLES, prior, PRIOR_SCV);
+        self.long = latency.long(PRIOR_SAMPLES, prior, PRIOR_SCV);
         let (gap, gap_scv) = gaps.shrunk(PRIOR_SAMPLES, 1e6, PRIOR_SCV);
         for s in self.servers.values_mut() {
             // Silence is not health: an old report fades into the fleet's mean.
@@ -460,21 +436,40 @@
         // While much is refused, an answer past the aim takes the place of one in time: called off then.
         let aim = (o.taken + o.class.aim - now).max(o.class.aim / 2);
         let cap = surplus >= FAILING && !s.origin && o.class.repeat == Repeat::Retryable;
-        out.push(Action::Send { request: id, server, timeout: cap.then_some(aim) });
+        let timeout = cap.then_some(aim).or(self.patience(id, server));
+        out.push(Action::Send { request: id, server, timeout });
         self.probe(now, server, out);
     }
 
+    /// How long an attempt may take before another is made beside it: where answers come well within the aim,
+    /// one that takes far longer sits on a connection that fell silent, or at a server that hangs. Where they are
+    /// slow, as behind a swamped origin, another would only add to the load.
+    fn patience(&self, id: RequestId, server: ServerId) -> Option<Micros> {
+        let (o, s) = (self.open.get(&id)?, self.servers.get(&server)?);
+        let half = o.class.aim / 2;
+        let prior = half as f64 / 4.0;
+        let long = if s.origin { self.origin.time.long(PRIOR_SAMPLES, prior, PRIOR_SCV) } else { self.long };
+        let again = self.settings.may_copy && o.class.repeat != Repeat::Fragile && o.in_order().is_none();
+        (again && long <= half && self.left(o) > 0 && self.may_repeat()).then_some(long.max(half / 2))
+    }
+
+    /// Whether a further attempt is in the budget, and the fault not behind the fleet.
+    fn may_repeat(&self) -> bool {
+        self.retries >= 1.0 && self.failing < FAILING && self.surplus() < FAILING
+    }
+
     fn outcome(&mut self, now: Micros, end: Outcome, out: &mut Vec<Action>) {
         let id = end.request;
         self.report(now, end.server, &end.report);
         let open = self.open.get_mut(&id).or_else(|| self.lingering.get_mut(&id));
         let key = open.as_ref().and_then(|o| o.in_order());
         let attempt = open.and_then(|o| o.attempts.get_mut(usize::from(end.attempt)));
+        let sent = attempt.as_ref().map_or(now - end.elapsed, |a| a.sent);
         let mine = attempt.filter(|a| a.verdict.is_none()).map(|a| a.verdict = Some(end.verdict)).is_some();
         if let Some(turns) = key.and_then(|k| self.turns.get_mut(&k)).filter(|_| mine && end.may_run_on()) {
             turns.rest = now + self.settings.order_settle;
         }
-        self.judge(now, &end);
+        self.judge(now, &end, sent);
         self.close_idle(end.server, out);
         if self.lingering.get(&id).is_some_and(|o| !o.is_out()) {
             self.lingering.remove(&id);
@@ -485,7 +480,7 @@
             self.forget(now, id, out);
         } else if mine && end.verdict == Verdict::Miss && self.settings.origin_kind.is_some() {
             self.advance(now, id, out);
-        } else if mine && (matches!(end.verdict, Verdict::Timeout | Verdict::Moot) || self.retries < 1.0) {
+        } else if mine && (self.retries < 1.0 || self.ran_out(now, id, end.verdict)) {
             self.finish(now, id, out);
         } else if mine {
             self.retries -= 1.0;
@@ -494,6 +489,13 @@
         self.drain_origin(now, out);
     }
 
+    /// Whether an attempt's time was all that the request had, or no other may be made beside it.
+    fn ran_out(&self, now: Micros, id: RequestId, verdict: Verdict) -> bool {
+        let left = self.open.get(&id).map_or(0, |o| o.request.deadline - now);
+        let late = matches!(verdict, Verdict::Timeout | Verdict::Moot);
+        late && (left <= 2 * self.settings.period || !self.settings.may_copy || !self.may_repeat())
+    }
+
     /// Turned away or not answered in time: busy now, whatever the last report said.
     fn busy(&mut self, now: Micros, server: ServerId, verdict: Verdict) {
         let busy = matches!(verdict, Verdict::Full | Verdict::Timeout);
@@ -508,17 +510,20 @@
     }
 
     /// What an outcome says of its server's health and speed.
-    fn judge(&mut self, now: Micros, end: &Outcome) {
+    fn judge(&mut self, now: Micros, end: &Outcome, sent: Micros) {
         let jitter = 0.5 + self.random();
         let aim = self.open.get(&end.request).map_or(0, |o| if o.over { 0 } else { o.class.aim });
-        self.busy(now, end.server, end.verdict);
+        let lone = self.servers.get(&end.server).is_some_and(|s| s.overtook(sent, end.verdict));
+        if !lone {
+            self.busy(now, end.server, end.verdict);
+        }
         let refused = f64::from(u8::from(end.verdict == Verdict::ConnectFailed));
         self.unconnected += (refused - self.unconnected) / CONNECT_MEMORY;
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         s.in_flight = s.in_flight.saturating_sub(1);
         let good = matches!(end.verdict, Verdict::Served | Verdict::Miss);
-        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout);
-        if matches!(end.verdict, Verdict::Served | Verdict::Timeout) {
+        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout) && !lone;
+        if matches!(end.verdict, Verdict::Served | Verdict::Timeout) && !lone {
             s.latency.add(end.elapsed.max(0) as f64);
         }
         let broken = matches!(end.verdict, Verdict::ConnectFailed | Verdict::Reset);
@@ -526,7 +531,7 @@
         s.failures += u32::from(broken || (bad && self.failing < FAILING));
         s.accept = (s.accept + if good && end.elapsed <= aim { ACCEPT_MORE } else { 0.0 }).min(1.0);
         if good {
-            (s.failures, s.evictions) = (0, 0);
+            (s.failures, s.evictions, s.answered) = (0, 0, s.answered.max(sent));
         }
         if s.failures >= FAILURES {
             // Failing or vanished, with its last report and its keys: out for a while, tried, out for longer.
@@ -535,7 +540,10 @@
             s.evictions = (s.evictions + 1).min(EVICT_DOUBLINGS);
         }
         if s.origin {
-            self.origin_ended(now, end);
+            if !lone {
+                let target = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / 2;
+                self.origin.ended(now, end, target);
+            }
         } else if good || bad {
             self.failing += (f64::from(u8::from(bad)) - self.failing) / FAILING_MEMORY;
             self.answered += f64::from(u8::from(good && end.elapsed <= aim));
@@ -628,13 +636,19 @@
             waiting.retain(|w| *w != id);
             let leader = waiting.front().map_or(id, |w| *w);
             let l = &self.open[&leader];
-            if !l.parked || l.request.deadline > now + left {
-                return waiting.push_back(id);
+            if l.parked && l.request.deadline <= now + left {
+                self.queue.retain(|q| *q != leader);
+                waiting.push_front(id);
+                self.queue.push(id);
+            } else {
+                waiting.push_back(id);
+                // Who waited behind a fetch that failed leads now, and waits for a place itself.
+                let queued = !l.parked || self.queue.contains(&leader);
+                self.queue.extend((!queued).then_some(leader));
             }
-            self.queue.retain(|q| *q != leader);
-            waiting.push_front(id);
+        } else {
+            self.queue.push(id);
         }
-        self.queue.push(id);
         self.drain_origin(now, out);
     }
 
@@ -642,11 +656,11 @@
     /// the writes, then the keys most wait for.
     fn drain_origin(&mut self, now: Micros, out: &mut Vec<Action>) {
         let busy = |b: &Self| b.servers.values().filter(|s| s.origin).map(|s| s.in_flight).sum::<u32>();
-        let open_to = |b: &Self| f64::from(busy(b)) < b.origin_limit.max(1.0) && b.origin_next <= now;
+        let open_to = |b: &Self| b.origin.takes(now, busy(b));
         while !self.queue.is_empty() && open_to(self) {
             let open = &self.open;
             self.queue.retain(|id| open.get(id).is_some_and(|o| o.parked && o.request.deadline > now));
-            let twice = now + (2.0 * self.origin_time.mean()) as Micros;
+            let twice = now + (2.0 * self.origin.time.mean()) as Micros;
             let worth = |id: &RequestId| {
                 let r = &self.open[id].request;
                 (r.deadline > twice, r.write, self.fetches.get(&r.key).map_or(0, VecDeque::len))
@@ -661,15 +675,4 @@
             }
         }
     }
-
-    /// Bounds what is out at the origin by its answers' time: additive up, multiplicative down.
-    fn origin_ended(&mut self, now: Micros, end: &Outcome) {
-        self.origin_time.add(end.elapsed as f64);
-        let target = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / 2;
-        let fast = end.verdict == Verdict::Served && end.elapsed < target;
-        let l = self.origin_limit;
-        self.origin_limit = if fast { l + l.min(1.0 / l) } else { (l * 0.9).max(ORIGIN_LEAST) };
-        // Under one at a time it rests between two: hundreds of routers with one out each swamp it too.
-        self.origin_next = now + (end.elapsed as f64 * (1.0 / self.origin_limit - 1.0).max(0.0)) as Micros;
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,12 @@
         self.sum / self.n.max(f64::MIN_POSITIVE)
     }
 
+    /// A time that few samples exceed: the mean and three deviations.
+    pub fn long(&self, samples: f64, mean: f64, scv: f64) -> Micros {
+        let (mean, scv) = self.shrunk(samples, mean, scv);
+        (mean * (1.0 + 3.0 * scv.sqrt())) as Micros
+    }
+
     /// Mean and squared coefficient of variation (Var/E^2), shrunk toward a prior that counts as `samples`.
     pub fn shrunk(&self, samples: f64, mean: f64, scv: f64) -> (f64, f64) {
         // Each is shrunk by itself: a prior mean far from the samples' is no variance of theirs.
@@ -50,6 +56,33 @@
     pub service_scv: f64,
 }
 
+impl Terms {
+    /// I = W_q/E[S] of the gathering queue, by Eq. 3.
+    pub fn index(&self) -> f64 {
+        self.rho / (1.0 - self.rho) * (self.arrival_scv + self.service_scv) / 2.0
+    }
+}
+
+/// Each candidate's part of the key's spread traffic, the gathering queue first. Eq. 2 gives C_D^2 of the
+/// gathering queue; from R_i = 1/d Eq. 4 gives C_i^2, Eq. 5 the wait, Eq. 6 the queue; Eq. 7 averages the
+/// two ratios. R_i grows with the queue, so the part is (1 - R_i)/(d - 1).
+pub fn shares(terms: &[Terms]) -> Vec<f64> {
+    let d = terms.len() as f64;
+    if terms.len() < 2 {
+        return vec![1.0; terms.len()];
+    }
+    let g = terms[0];
+    let departures = g.rho * g.rho * g.service_scv + (1.0 - g.rho * g.rho) * g.arrival_scv;
+    let routed = departures / d + (1.0 - 1.0 / d);
+    let queue = |t: &Terms| t.rho * t.rho / (1.0 - t.rho) * (routed + t.service_scv) / 2.0;
+    let wait = |t: &Terms| t.service * t.rho / (1.0 - t.rho) * (routed + t.service_scv) / 2.0;
+    let (queues, waits) = (terms.iter().map(queue).sum::<f64>(), terms.iter().map(wait).sum::<f64>());
+    // An idle fleet has no queue and no wait to divide by: equal parts.
+    let ratio = |x: f64, sum: f64| if sum > 0.0 && sum.is_finite() { x / sum } else { 1.0 / d };
+    let r = |t: &Terms| (ratio(queue(t), queues) + ratio(wait(t), waits)) / 2.0;
+    terms.iter().map(|t| (1.0 - r(t)) / (d - 1.0)).collect()
+}
+
 /// A listed server: what the list, its reports and its outcomes say of it.
 #[derive(Default)]
 pub struct Server {
@@ -69,6 +102,8 @@
     pub latency: Moments,
     pub terms: Terms,
     pub in_flight: u32,
+    /// The latest send that it answered well.
+    pub answered: Micros,
     pub failures: u32,
     pub evictions: u32,
     pub evicted_until: Micros,
@@ -76,6 +111,14 @@
     pub budget: f64,
 }
 
+impl Server {
+    /// Whether an attempt ran out of time though one sent after it was answered: its connection fell silent or
+    /// its answer was lost, and nothing is said of the server.
+    pub fn overtook(&self, sent: Micros, verdict: Verdict) -> bool {
+        verdict == Verdict::Timeout && self.answered > sent
+    }
+}
+
 #[derive(Clone, Copy)]
 pub struct Attempt {
     pub server: ServerId,
@@ -111,6 +154,11 @@
         Some(self.request.key).filter(|k| self.class.keep_order && *k != Key(0))
     }
 
+    /// Its first attempt is out, and nothing else was tried.
+    pub fn is_first_out(&self) -> bool {
+        self.attempts.len() == 1 && self.is_out()
+    }
+
     pub fn is_out(&self) -> bool {
         self.attempts.iter().any(|a| a.verdict.is_none())
     }
@@ -145,6 +193,51 @@
     }
 }
 
+/// How much may be out at an origin, by its answers' time: additive up, multiplicative down.
+pub struct Window {
+    pub limit: f64,
+    /// The part of its answers that were slow, lately.
+    pub slow: f64,
+    pub time: Moments,
+    next: Micros,
+}
+
+impl Window {
+    /// Requests out at the start, before its answers tell how many it takes, and at least.
+    const START: f64 = 4.0;
+    const LEAST: f64 = 0.3;
+    /// The part of its answers being slow from which there are too many out, and how many are looked at.
+    const SLOW: f64 = 0.2;
+    const MEMORY: f64 = 10.0;
+
+    pub fn takes(&self, now: Micros, out: u32) -> bool {
+        f64::from(out) < self.limit.max(1.0) && self.next <= now
+    }
+
+    pub fn ended(&mut self, now: Micros, end: &Outcome, target: Micros) {
+        self.time.add(end.elapsed as f64);
+        // A broken or unreadable answer says nothing of its load, and a slow one among quick ones hardly more.
+        let told = !matches!(end.verdict, Verdict::Reset | Verdict::ConnectFailed | Verdict::Moot);
+        let slow = end.elapsed >= target || (told && end.verdict != Verdict::Served);
+        self.slow += (f64::from(u8::from(slow)) - self.slow) / Self::MEMORY;
+        let l = self.limit;
+        self.limit = match slow {
+            false if end.verdict == Verdict::Served => l + l.min(1.0 / l),
+            true if self.slow >= Self::SLOW => (l * 0.9).max(Self::LEAST),
+            _ => l,
+        };
+        // Under one at a time it rests between two: hundreds of routers with one out each swamp it too.
+        self.next = now + (end.elapsed as f64 * (1.0 / self.limit - 1.0).max(0.0)) as Micros;
+    }
+}
+
+impl Default for Window {
+    /// Till its answers tell otherwise, a slow one is taken at its word.
+    fn default() -> Self {
+        Window { limit: Self::START, slow: Self::SLOW, time: Moments::default(), next: 0 }
+    }
+}
+
 pub fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -875,3 +875,79 @@
     }
     assert!((3..40).contains(&late), "{late} of 60 sent in the later half");
 }
+
+/// rate+silent+leave: a connection fell silent and its request waited there for all its time, and then its node was
+/// taken for swamped though it answered all others.
+#[test]
+fn an_attempt_on_a_connection_that_fell_silent_goes_elsewhere_and_says_nothing_of_its_server() {
+    let mut r = Router::new(Settings { may_copy: true, ..settings() }, members(4));
+    let home = r.key(7).unwrap();
+    for k in 1..100 {
+        r.key(k);
+    }
+    r.pass(300 * MS);
+    let (id, out) = r.ask(Request { key: Key(7), ..Request::default() });
+    let patience = match out.as_slice() {
+        [Action::Send { timeout: Some(t), .. }, ..] => *t,
+        other => panic!("no patience in {other:?}"),
+    };
+    assert!(patience <= Class::default().aim / 2);
+    r.pass(patience / 2);
+    assert_eq!(r.key(7), Some(home));
+    r.pass(patience / 2);
+    let again = server(&r.end(id, Verdict::Timeout, patience, vec![]));
+    assert!(again.is_some_and(|s| s != home));
+    r.end(id, Verdict::Served, 10 * MS, vec![]);
+    r.pass(300 * MS);
+    assert_eq!(r.key(7), Some(home));
+}
+
+/// rate+silent+leave: a fetch failed, its leader lined up behind one who had more time, and that one was in no queue:
+/// all who wanted the key waited till their time was up.
+#[test]
+fn aside_who_waited_behind_a_fetch_that_failed_leads_the_next() {
+    let (s, entries) = aside();
+    let mut r = Router::new(s, entries);
+    let miss = |r: &mut Router, left| {
+        let (id, _) = r.ask(Request { key: Key(9), deadline: r.now + left, ..Request::default() });
+        (id, r.end_note(id, Verdict::Miss, MS, vec![], 2))
+    };
+    let (a, out) = miss(&mut r, 500 * MS);
+    assert_eq!(server(&out), Some(ORIGIN));
+    let (b, _) = miss(&mut r, 900 * MS);
+    let out = r.end(a, Verdict::Reset, 20 * MS, vec![]);
+    assert!(
+        matches!(out.as_slice(), [.., Action::Send { request, server: ORIGIN, .. }] if *request == b),
+        "{out:?}"
+    );
+}
+
+/// rate+silent+leave: answers that broke off kept the limit at a few, with hundreds waiting for an idle origin.
+#[test]
+fn aside_answers_that_break_off_do_not_narrow_the_way_to_the_origin() {
+    let (s, entries) = aside();
+    let mut r = Router::new(s, entries);
+    let out_at = |r: &Router, ended: usize| r.sent.len() - ended;
+    let (mut ended, mut most) = (0, 0);
+    for n in 0..600 {
+        for k in 0..10 {
+            r.ask(Request {
+                key: Key(10 * n + k),
+                write: true,
+                deadline: r.now + 500 * MS,
+                ..Request::default()
+            });
+        }
+        most = if n < 300 { 0 } else { most.max(out_at(&r, ended)) };
+        // Twenty times a round trip's work is there; an answer in six breaks off.
+        if n % 4 == 0 {
+            for _ in 0..out_at(&r, ended) {
+                let verdict = if ended % 6 == 0 { Verdict::Reset } else { Verdict::Served };
+                r.end(r.sent[ended].0, verdict, 40 * MS, vec![]);
+                ended += 1;
+            }
+        }
+        r.pass(10 * MS);
+    }
+    assert!(most > 20, "{most} out at most");
+}
