Do not count what is out as unanswered, nor charge broken connections to the budget

Now a request counts when its first attempt has ended; a Reset or ConnectFailed is free while the caches are not strained (four attempts bound it); a Reset from a node that answered in the last 0.2 s evicts nobody; the pool passes over a connection that answered within 5 ms.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -117,12 +117,7 @@
             Event::Request(r) => self.request(now, r, out),
             Event::First { request, .. } => self.open.get_mut(&request).map_or((), |o| o.begun = true),
             Event::Outcome(o) => self.outcome(now, o, out),
-            Event::ClientLeft(id) => {
-                // Nobody waits for its answer any more: it is none that the caches owe.
-                let owed = self.open.get(&id).filter(|o| !o.over && o.is_first_out());
-                self.wanted = (self.wanted - f64::from(u8::from(owed.is_some()))).max(0.0);
-                self.forget(now, id, out);
-            }
+            Event::ClientLeft(id) => self.forget(now, id, out),
             Event::Timer(TICK) => {
                 self.refresh(now);
                 self.drain_origin(now, out);
@@ -311,23 +306,9 @@
     /// Whether a server may be sent a request now: listed ready, its cold budget, what may run twice where.
     /// Asked right before each send, since a request can have waited.
     fn permitted(&self, now: Micros, o: &Open, s: &Server) -> bool {
-        let repeat = match (o.class.repeat, o.ran()) {
-            (_, None) | (Repeat::Retryable, _) => true,
-            (Repeat::Fragile, Some(_)) => false,
-            (Repeat::Dedup, Some(a)) => {
-                let same = match o.class.group {
-                    Group::All => true,
-                    Group::Zone => a.zone == s.member.zone,
-                    Group::Cell => a.cell == s.member.cell,
-                };
-                same && now + self.settings.period < a.sent + o.class.window
-            }
-        };
-        // Placement: a bound class goes only to its servers, at every attempt; any class may use the origin.
-        let zone = o.class.zones.as_ref().is_none_or(|z| z.contains(&s.member.zone));
-        let placed = zone && o.class.kinds.as_ref().is_none_or(|k| k.contains(&s.member.kind));
         let open = s.weight > 0.0 && !(s.cold && s.budget < 1.0);
-        repeat && open && (placed || s.origin) && now < o.request.deadline && self.left(o) > 0
+        let allowed = o.repeats_at(now + self.settings.period, s) && o.placed_at(s);
+        allowed && open && now < o.request.deadline && self.left(o) > 0
     }
 
     fn left(&self, o: &Open) -> usize {
@@ -351,10 +332,19 @@
         }
         match self.choose(now, id) {
             Some(server) => self.send(now, id, server, out),
-            None => self.finish(now, id, out),
+            None => {
+                self.want(id, 0);
+                self.finish(now, id, out);
+            }
         }
     }
 
+    /// Counts a request that wants a cache, but not before its first attempt had the time to be answered.
+    fn want(&mut self, id: RequestId, ended: usize) {
+        let first = self.open.get(&id).is_some_and(|o| !o.over && o.attempts.len() == ended);
+        self.wanted += f64::from(u8::from(first));
+    }
+
     /// The ready candidates of a key by weighted rendezvous hashing, best first: the same on every router
     /// with the same list, and a change of the list moves only the keys it must.
     fn ranked(&self, now: Micros, key: u64, usable: impl Fn(&Server) -> bool) -> Vec<&Server> {
@@ -378,7 +368,6 @@
         let (draw, refuse) = (self.random(), self.random());
         let o = self.open.get(&id)?;
         let first_try = o.attempts.is_empty();
-        self.wanted += f64::from(u8::from(first_try && !o.over));
         let usable = |s: &Server| {
             let takes = s.accept >= self.accepting * unit(mix(draw.to_bits() ^ s.member.server.0));
             takes && self.permitted(now, o, s) && !o.attempts.iter().any(|a| a.server == s.member.server)
@@ -396,7 +385,7 @@
         // Under strain a router sends a little more than its caches answered in time of late and refuses the
         // rest early: queues past the aim serve nobody, and a cache waiting for a swamped origin looks idle
         // by its cores. What is over quota goes first: it is served from idle caches only.
-        let strained = window.is_none() || self.failing >= FAILING || self.surplus() >= FAILING;
+        let strained = window.is_none() || self.strained();
         if o.over || (strained && first_try && refuse < self.surplus().min(MOST_REFUSED)) {
             return None;
         }
@@ -441,21 +430,21 @@
         self.probe(now, server, out);
     }
 
-    /// How long an attempt may take before another is made beside it: where answers come well within the aim,
-    /// one that takes far longer sits on a connection that fell silent, or at a server that hangs. Where they are
-    /// slow, as behind a swamped origin, another would only add to the load.
+    /// How long an attempt may take before another is made: where answers come well within the aim, one that
+    /// takes far longer sits on a connection that fell silent, or at a server that hangs.
     fn patience(&self, id: RequestId, server: ServerId) -> Option<Micros> {
         let (o, s) = (self.open.get(&id)?, self.servers.get(&server)?);
         let half = o.class.aim / 2;
         let prior = half as f64 / 4.0;
         let long = if s.origin { self.origin.time.long(PRIOR_SAMPLES, prior, PRIOR_SCV) } else { self.long };
         let again = self.settings.may_copy && o.class.repeat != Repeat::Fragile && o.in_order().is_none();
-        (again && long <= half && self.left(o) > 0 && self.may_repeat()).then_some(long.max(half / 2))
+        (again && long <= half && self.left(o) > 0 && self.retries >= 1.0 && !self.strained())
+            .then_some(long.max(half / 2))
     }
 
-    /// Whether a further attempt is in the budget, and the fault not behind the fleet.
-    fn may_repeat(&self) -> bool {
-        self.retries >= 1.0 && self.failing < FAILING && self.surplus() < FAILING
+    /// Whether caches fail all over the fleet, or answer less than is wanted: another attempt adds to it.
+    fn strained(&self) -> bool {
+        self.failing >= FAILING || self.surplus() >= FAILING
     }
 
     fn outcome(&mut self, now: Micros, end: Outcome, out: &mut Vec<Action>) {
@@ -480,20 +469,28 @@
             self.forget(now, id, out);
         } else if mine && end.verdict == Verdict::Miss && self.settings.origin_kind.is_some() {
             self.advance(now, id, out);
-        } else if mine && (self.retries < 1.0 || self.ran_out(now, id, end.verdict)) {
-            self.finish(now, id, out);
         } else if mine {
-            self.retries -= 1.0;
-            self.advance(now, id, out);
+            let price = self.price(now, id, end.verdict);
+            if self.retries < price {
+                self.finish(now, id, out);
+            } else {
+                self.retries -= price;
+                self.advance(now, id, out);
+            }
         }
         self.drain_origin(now, out);
     }
 
-    /// Whether an attempt's time was all that the request had, or no other may be made beside it.
-    fn ran_out(&self, now: Micros, id: RequestId, verdict: Verdict) -> bool {
+    /// What a further attempt takes of the budget: nothing after a broken connection, which no load breaks; all
+    /// there is where a time-out was all the time that the request had, or no other may be made beside it.
+    fn price(&self, now: Micros, id: RequestId, verdict: Verdict) -> f64 {
         let left = self.open.get(&id).map_or(0, |o| o.request.deadline - now);
-        let late = matches!(verdict, Verdict::Timeout | Verdict::Moot);
-        late && (left <= 2 * self.settings.period || !self.settings.may_copy || !self.may_repeat())
+        let over = left <= 2 * self.settings.period || !self.settings.may_copy || self.strained();
+        match verdict {
+            Verdict::Timeout | Verdict::Moot if over => f64::INFINITY,
+            Verdict::Reset | Verdict::ConnectFailed if !self.strained() => 0.0,
+            _ => 1.0,
+        }
     }
 
     /// Turned away or not answered in time: busy now, whatever the last report said.
@@ -513,10 +510,12 @@
     fn judge(&mut self, now: Micros, end: &Outcome, sent: Micros) {
         let jitter = 0.5 + self.random();
         let aim = self.open.get(&end.request).map_or(0, |o| if o.over { 0 } else { o.class.aim });
-        let lone = self.servers.get(&end.server).is_some_and(|s| s.overtook(sent, end.verdict));
+        let told = |s: &Server| (s.overtook(sent, end.verdict), usize::from(!s.origin));
+        let (lone, first) = self.servers.get(&end.server).map_or((false, 0), told);
         if !lone {
             self.busy(now, end.server, end.verdict);
         }
+        self.want(end.request, first);
         let refused = f64::from(u8::from(end.verdict == Verdict::ConnectFailed));
         self.unconnected += (refused - self.unconnected) / CONNECT_MEMORY;
         let Some(s) = self.servers.get_mut(&end.server) else { return };
@@ -526,7 +525,9 @@
         if matches!(end.verdict, Verdict::Served | Verdict::Timeout) && !lone {
             s.latency.add(end.elapsed.max(0) as f64);
         }
-        let broken = matches!(end.verdict, Verdict::ConnectFailed | Verdict::Reset);
+        // A process that answered a moment ago did not die: it was that connection.
+        let alive = end.verdict == Verdict::Reset && s.answered + REFRESH > now;
+        let broken = matches!(end.verdict, Verdict::ConnectFailed | Verdict::Reset) && !alive;
         // Errors and time-outs all over the fleet come from behind it, and moving keys would add misses.
         s.failures += u32::from(broken || (bad && self.failing < FAILING));
         s.accept = (s.accept + if good && end.elapsed <= aim { ACCEPT_MORE } else { 0.0 }).min(1.0);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -494,7 +494,7 @@
     fn place(&mut self, now: Micros, id: UpstreamId) {
         let Some(u) = self.upstream.get(&id) else { return };
         let (server, sent) = (u.server, u.sent);
-        if let Some(c) = self.pool.take(server) {
+        if let Some(c) = self.pool.take(server, now) {
             return self.begin(now, c, id);
         }
         let waits = self.pool.nodes.get_mut(&server).map(|node| {
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -7,6 +7,8 @@
 
 /// How long a connection may idle. Open ones fill a node's table; a new one costs it a handshake.
 const IDLE: Micros = 10_000_000;
+/// What a node sends behind an answer has come by then; far more than the way from it takes.
+const SETTLE: Micros = 5_000;
 /// How long a connection waits for an answer that nobody wants, and how many do so at a node.
 const LINGER: Micros = 1_500_000;
 const LINGERING: usize = 6;
@@ -92,9 +94,13 @@
         self.slots.get(&c).is_some_and(|s| s.state == State::Lingering)
     }
 
-    /// Takes out the idle connection that was used last.
-    pub fn take(&mut self, server: ServerId) -> Option<ConnectionId> {
-        self.nodes.get_mut(&server)?.idle.pop().map(|(c, _)| c)
+    /// Takes out the idle connection that was used last, of those that have settled if there are any: a node may
+    /// close right after an answer, or send more than belongs to it, and that is still on its way.
+    pub fn take(&mut self, server: ServerId, now: Micros) -> Option<ConnectionId> {
+        let idle = &mut self.nodes.get_mut(&server)?.idle;
+        let settled = idle.iter().rposition(|(_, since)| now - since >= SETTLE);
+        let at = settled.or(idle.len().checked_sub(1))?;
+        Some(idle.remove(at).0)
     }
 
     pub fn idle(&self, server: ServerId) -> Vec<ConnectionId> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,11 +154,6 @@
         Some(self.request.key).filter(|k| self.class.keep_order && *k != Key(0))
     }
 
-    /// Its first attempt is out, and nothing else was tried.
-    pub fn is_first_out(&self) -> bool {
-        self.attempts.len() == 1 && self.is_out()
-    }
-
     pub fn is_out(&self) -> bool {
         self.attempts.iter().any(|a| a.verdict.is_none())
     }
@@ -168,6 +163,28 @@
         self.attempts.iter().find(|a| !a.verdict.is_some_and(Verdict::never_ran))
     }
 
+    /// Whether the class lets what may have run be sent to this server by `latest`.
+    pub fn repeats_at(&self, latest: Micros, s: &Server) -> bool {
+        match (self.class.repeat, self.ran()) {
+            (_, None) | (Repeat::Retryable, _) => true,
+            (Repeat::Fragile, Some(_)) => false,
+            (Repeat::Dedup, Some(a)) => {
+                let same = match self.class.group {
+                    Group::All => true,
+                    Group::Zone => a.zone == s.member.zone,
+                    Group::Cell => a.cell == s.member.cell,
+                };
+                same && latest < a.sent + self.class.window
+            }
+        }
+    }
+
+    /// Placement: a bound class goes only to its servers, at every attempt; any class may use the origin.
+    pub fn placed_at(&self, s: &Server) -> bool {
+        let zone = self.class.zones.as_ref().is_none_or(|z| z.contains(&s.member.zone));
+        s.origin || (zone && self.class.kinds.as_ref().is_none_or(|k| k.contains(&s.member.kind)))
+    }
+
     pub fn missed_at(&self) -> Option<ServerId> {
         self.attempts.iter().find(|a| a.verdict == Some(Verdict::Miss)).map(|a| a.server)
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -192,3 +192,26 @@
     assert!(dialled(&p.ask(1_000 * MS)).is_none(), "the dial under way is enough");
     assert!(written(&p.input(Input::Connected(c))));
 }
+
+/// Guards against a node that closes right after an answer, or sends more than belongs to it: the connection that
+/// answered last is left alone for a moment while another is idle.
+#[test]
+fn a_connection_settles_before_it_is_used_again() {
+    let mut p = Proxy::new();
+    let (one, two) =
+        (dialled(&p.ask(1_000 * MS)).expect("a dial"), dialled(&p.ask(1_000 * MS)).expect("a dial"));
+    for c in [one, two] {
+        p.input(Input::Connected(c));
+    }
+    p.input(Input::Replied(one, served()));
+    p.now += 20 * MS;
+    p.input(Input::Replied(two, served()));
+    let on = |effects: &[Effect], c| {
+        has(effects, |e| matches!(e, Effect::Write { connection, .. } if *connection == c))
+    };
+    assert!(on(&p.ask(1_000 * MS), one));
+    p.now += 20 * MS;
+    p.input(Input::Replied(one, served()));
+    p.now += 20 * MS;
+    assert!(on(&p.ask(1_000 * MS), one), "else the one used last");
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -951,3 +951,33 @@
     }
     assert!(most > 20, "{most} out at most");
 }
+
+/// A calm start: nothing had had the time to be answered, all of it counted as unanswered, and a third was refused.
+#[test]
+fn what_is_out_and_not_yet_due_is_no_reason_to_refuse() {
+    let mut r = Router::new(settings(), members(4));
+    let refusals = (0..40u64).filter(|k| {
+        let (id, out) = r.ask(Request { key: Key(k + 1), ..Request::default() });
+        if *k == 0 {
+            // One server turns a request away, and its keys look congested.
+            r.end(id, Verdict::Full, MS, vec![]);
+        }
+        r.pass(2 * MS);
+        refused(&out)
+    });
+    assert_eq!(refusals.count(), 0);
+}
+
+/// wide+reset+stale: a fifth of the attempts were broken off, and the budget against overload refused the rest.
+#[test]
+fn broken_connections_take_nothing_from_the_budget_of_further_attempts() {
+    let mut r = Router::new(settings(), members(8));
+    for k in 0..200 {
+        let (id, _) = r.ask(Request { key: Key(k + 1), ..Request::default() });
+        if k % 2 == 0 {
+            assert!(server(&r.end(id, Verdict::Reset, MS, vec![])).is_some(), "request {k}");
+        }
+        r.end(id, Verdict::Served, 10 * MS, vec![]);
+        r.pass(10 * MS);
+    }
+}
