Close downstreams that idle from a fifth of the descriptors on

A trace of what comes on each downstream: from 2.6 s on clients take new connections, ask once and hold them, and the requests that come fall from 336 to 59 a second with 128 (a third of the descriptors) held and two streams open; src/owner.rs made room only at 211. close_idle_downstream() also closed one whose command was read but still in the queue of news: that one is lost.

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -118,6 +118,8 @@
     gate: Rc<Cell<bool>>,
     room: Sender<()>,
     most_downstreams: usize,
+    /// From here on a new one takes the place of one that idles: who holds connections must not keep others out.
+    ample_downstreams: usize,
     last_id: u64,
     started: Micros,
     swept: Micros,
@@ -157,6 +159,7 @@
         gate,
         room,
         most_downstreams: config.sockets - RESERVE - upstream_sockets,
+        ample_downstreams: config.sockets / 5,
         last_id: 0,
         started: now,
         swept: now,
@@ -226,7 +229,7 @@
                 self.core.input(now, input);
             }
             News::Accepted(socket) => self.accepted(now, socket),
-            News::Crowded => self.close_idle_downstream(),
+            News::Crowded => self.close_idle_downstream(0),
             News::Note(text) => {
                 self.notes += 1;
                 if self.notes <= NOTES {
@@ -277,13 +280,19 @@
         self.downstreams.insert(id, one);
         if self.downstreams.len() >= self.most_downstreams {
             self.gate.set(true);
-            self.close_idle_downstream();
+            self.close_idle_downstream(0);
+        } else if self.downstreams.len() >= self.ample_downstreams {
+            self.close_idle_downstream(SWEEP);
         }
     }
 
-    /// Makes room: the downstream without a stream that has been quiet longest.
-    fn close_idle_downstream(&mut self) {
-        let idle = self.downstreams.iter().filter(|(id, d)| !self.core.busy(**id) && !d.owed());
+    /// Makes room: the downstream without a stream that has been quiet longest, and for this long at least.
+    fn close_idle_downstream(&mut self, quiet: Micros) {
+        let now = self.clock.now();
+        let idle = self
+            .downstreams
+            .iter()
+            .filter(|(id, d)| now - d.moved >= quiet && !self.core.busy(**id) && !d.owed());
         if let Some(id) = idle.min_by_key(|(_, d)| d.moved).map(|(id, _)| *id) {
             self.drop_downstream(id);
         }
@@ -352,6 +361,9 @@
             }
         }
         self.closed += stuck.len() as u64;
+        for _ in self.ample_downstreams..self.downstreams.len() {
+            self.close_idle_downstream(SWEEP);
+        }
         stuck.into_iter().for_each(|id| self.drop_downstream(id));
         if now - self.told_figures >= FIGURES {
             self.told_figures = now;
