--- a/src/owner.rs
+++ b/src/owner.rs
@@ -289,10 +289,11 @@
     /// Makes room: the downstream without a stream that has been quiet longest, and for this long at least.
     fn close_idle_downstream(&mut self, quiet: Micros) {
         let now = self.clock.now();
-        let idle = self
-            .downstreams
-            .iter()
-            .filter(|(id, d)| now - d.moved >= quiet && !self.core.busy(**id) && !d.owed());
+        let idle = self.downstreams.iter().filter(|(id, d)| {
+            // A command that was read and waits in the queue of news is not in the core yet.
+            let idles = matches!(d.progress.waits.get(), Waits::Nothing | Waits::Command);
+            now - d.moved >= quiet && idles && !self.core.busy(**id) && !d.owed()
+        });
         if let Some(id) = idle.min_by_key(|(_, d)| d.moved).map(|(id, _)| *id) {
             self.drop_downstream(id);
         }
