--- a/src/choice.rs
+++ b/src/choice.rs
@@ -481,7 +481,7 @@
         self.drain_origin(now, out);
     }
 
-    /// What another attempt takes of the budget: nothing after a broken connection, as no load breaks one; all
+    /// What another attempt takes of the budget: nothing after a broken connection, which is not load; all
     /// there is where a time-out was all the time that the request had, or no other may be made beside it.
     fn price(&self, now: Micros, id: RequestId, verdict: Verdict) -> f64 {
         let left = self.open.get(&id).map_or(0, |o| o.request.deadline - now);
