--- a/src/choice.rs
+++ b/src/choice.rs
@@ -246,7 +246,7 @@
         }
         let prior = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64 / 4.0;
         let (service, service_scv) = latency.shrunk(PRIOR_SAMPLES, prior, PRIOR_SCV);
-        self.long = latency.long(PRIOR_SAMPLES, prior, PRIOR_SCV);
+        self.long = long((service, service_scv));
         let (gap, gap_scv) = gaps.shrunk(PRIOR_SAMPLES, 1e6, PRIOR_SCV);
         for s in self.servers.values_mut() {
             // Silence is not health: an old report fades into the fleet's mean.
@@ -436,10 +436,11 @@
         let (o, s) = (self.open.get(&id)?, self.servers.get(&server)?);
         let half = o.class.aim / 2;
         let prior = half as f64 / 4.0;
-        let long = if s.origin { self.origin.time.long(PRIOR_SAMPLES, prior, PRIOR_SCV) } else { self.long };
+        let usual =
+            if s.origin { long(self.origin.time.shrunk(PRIOR_SAMPLES, prior, PRIOR_SCV)) } else { self.long };
         let again = self.settings.may_copy && o.class.repeat != Repeat::Fragile && o.in_order().is_none();
-        (again && long <= half && self.left(o) > 0 && self.retries >= 1.0 && !self.strained())
-            .then_some(long.max(half / 2))
+        (again && usual <= half && self.left(o) > 0 && self.retries >= 1.0 && !self.strained())
+            .then_some(usual.max(half / 2))
     }
 
     /// Whether caches fail all over the fleet, or answer less than is wanted: another attempt adds to it.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -408,17 +408,13 @@
         self.counters.taken += 1;
         // A node would take the second for a repeat, and one's answer could come to the other.
         if self.ids.contains(&ask.message.id) {
-            self.counters.failed += 1;
-            let Ask { downstream, place, .. } = ask;
-            return self.effects.push(Effect::Answer { downstream, place, answer: Answer::Taken });
+            return self.reply(ask.downstream, ask.place, Answer::Taken);
         }
         // A tick early: timers are coarse, and the answer has a way to go.
         let deadline = now + (ask.patience - self.settings.period).max(0);
         if self.streams.len() >= self.settings.max_open as usize {
-            self.counters.refused += 1;
             let answer = Answer::Busy(self.settings.max_retry_after);
-            let Ask { downstream, place, .. } = ask;
-            return self.effects.push(Effect::Answer { downstream, place, answer });
+            return self.reply(ask.downstream, ask.place, answer);
         }
         let write = ask.message.value.is_some();
         let (downstream, place, message) = (ask.downstream, ask.place, ask.message);
@@ -449,7 +445,13 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(Stream { downstream, place, .. }) = self.end_stream(id) else { return };
+        if let Some(Stream { downstream, place, .. }) = self.end_stream(id) {
+            self.reply(downstream, place, answer);
+        }
+    }
+
+    /// A final answer on its way to its downstream, counted.
+    fn reply(&mut self, downstream: DownstreamId, place: u64, answer: Answer) {
         match answer {
             Answer::Value(_) => self.counters.served += 1,
             Answer::Busy(_) => self.counters.refused += 1,
--- a/src/net/cluster.rs
+++ b/src/net/cluster.rs
@@ -1,14 +1,13 @@
 //! Discovery: a watch on the list of nodes. When and from where to watch is the core's.
 
-use super::{tell, News, Queue};
+use super::{read, tell, News, Queue};
 use crate::codec::{discovery, http};
 use crate::core::Input;
 use crate::settings::Site;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::AsyncWriteExt;
 use std::net::{SocketAddr, TcpStream};
 
-const READ: usize = 16 * 1024;
 const PATH: &str = "/registry/instances";
 
 /// Watches until the connection ends or says something malformed; tells each object and each sign of life.
@@ -28,14 +27,12 @@
     let path = format!("{PATH}?watch=1{after}");
     http::put_request(&mut out, "GET", path.as_bytes(), &address.to_string(), &[], None);
     socket.write_all(&out).await.map_err(failed)?;
-    let (mut input, mut body, mut chunk) = (Vec::new(), Vec::new(), vec![0; READ]);
+    let (mut input, mut body) = (Vec::new(), Vec::new());
     let mut begun = false;
     loop {
-        let n = socket.read(&mut chunk).await.map_err(failed)?;
-        if n == 0 {
+        if read(&socket, &mut input).await.map_err(failed)? == 0 {
             return Err("closed".into());
         }
-        input.extend_from_slice(&chunk[..n]);
         if !begun {
             let Some((head, taken)) = http::head(&input, discovery::LINE).map_err(malformed)? else {
                 continue;
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -226,11 +226,11 @@
                 progress.waits.set(Waits::Close);
                 return self.finish().await;
             }
-            progress.waits.set(match progress.steps.get() {
-                _ if unread => Waits::Peer,
+            let asking = progress.steps.get() == 0 || !self.input.is_empty();
+            progress.waits.set(match unread {
+                true => Waits::Peer,
                 _ if !self.answers.is_empty() => Waits::Answer,
-                0 => Waits::Command,
-                _ if !self.input.is_empty() => Waits::Command,
+                _ if asking => Waits::Command,
                 _ => Waits::Nothing,
             });
             let full = self.answers.len() >= STREAMS || self.output.len() > UNREAD;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -68,16 +68,20 @@
 fn reply(reply: resp::Reply, probe: bool, columns: &[String]) -> Reply {
     let mut r = Reply { verdict: Verdict::Error, value: Vec::new(), note: 0, report: Vec::new(), keep: true };
     match reply {
-        resp::Reply::Array(items) if !probe => match <[_; 3]>::try_from(items) {
-            Ok([value, how, report]) if note(how.as_deref()).is_some() => {
-                r.verdict = if value.is_some() { Verdict::Served } else { Verdict::Miss };
-                r.value = value.unwrap_or_default();
-                r.note = note(how.as_deref()).unwrap_or_default();
-                r.report = report.map_or_else(Vec::new, |t| codec::report(&t, columns));
+        resp::Reply::Array(items) if !probe => {
+            let whole = <[_; 3]>::try_from(items).ok();
+            let known = whole.and_then(|[value, how, report]| Some((value, note(how.as_deref())?, report)));
+            match known {
+                Some((value, note, report)) => {
+                    r.verdict = if value.is_some() { Verdict::Served } else { Verdict::Miss };
+                    r.value = value.unwrap_or_default();
+                    r.note = note;
+                    r.report = report.map_or_else(Vec::new, |t| codec::report(&t, columns));
+                }
+                // No answer that a node makes: a miss would be taken for a proof that nothing ran.
+                None => r.keep = false,
             }
-            // No answer that a node makes: a miss would be taken for a proof that nothing ran.
-            _ => r.keep = false,
-        },
+        }
         resp::Reply::Bulk(Some(text)) if probe => {
             r.verdict = Verdict::Served;
             r.report = codec::report(&text, columns);
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,12 +32,6 @@
         self.sum / self.n.max(f64::MIN_POSITIVE)
     }
 
-    /// A time that few samples exceed: the mean and three deviations.
-    pub fn long(&self, samples: f64, mean: f64, scv: f64) -> Micros {
-        let (mean, scv) = self.shrunk(samples, mean, scv);
-        (mean * (1.0 + 3.0 * scv.sqrt())) as Micros
-    }
-
     /// Mean and squared coefficient of variation (Var/E^2), shrunk toward a prior that counts as `samples`.
     pub fn shrunk(&self, samples: f64, mean: f64, scv: f64) -> (f64, f64) {
         // Each is shrunk by itself: a prior mean far from the samples' is no variance of theirs.
@@ -255,6 +249,11 @@
     }
 }
 
+/// A time that few samples of this mean and squared coefficient of variation exceed: three deviations more.
+pub fn long((mean, scv): (f64, f64)) -> Micros {
+    (mean * (1.0 + 3.0 * scv.sqrt())) as Micros
+}
+
 pub fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
