Add multi-get: several reads in one command on a port of its own

They become the same Asks as ever; the answers are put together where they are written. The core tells a stream that ran out of time (Late) from one that failed; on the main port both read -ERR failed as before.

Ruled out: a second connection task for the side port.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,6 +56,8 @@
     /// A local reply: refused, come again after this time.
     Busy(Option<Micros>),
     Failed,
+    /// It ran out of time.
+    Late,
     /// Not taken: its id is that of an open stream.
     Taken,
 }
@@ -339,7 +341,7 @@
                         // must not wait for it.
                         self.counters.overdue += 1;
                         self.effects.push(Effect::Note(format!("stream {} was overdue: failed", id.0)));
-                        self.answer(id, Answer::Failed);
+                        self.answer(id, Answer::Late);
                         self.events.push_back(Event::ClientLeft(id));
                     }
                 }
@@ -386,7 +388,12 @@
                 }
             }
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Busy(retry_after)),
-            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Fail { request } => {
+                // What is left by then is a tick: no attempt could still go out in it.
+                let period = self.settings.period;
+                let late = self.streams.get(&request).is_some_and(|s| s.deadline - now <= period);
+                self.answer(request, if late { Answer::Late } else { Answer::Failed });
+            }
             Action::Timer { after, token } => {
                 self.wheel.insert(now + after.max(1), Due::Module(token));
             }
@@ -455,7 +462,7 @@
         match answer {
             Answer::Value(_) => self.counters.served += 1,
             Answer::Busy(_) => self.counters.refused += 1,
-            Answer::Failed | Answer::Taken => self.counters.failed += 1,
+            Answer::Failed | Answer::Late | Answer::Taken => self.counters.failed += 1,
         }
         self.effects.push(Effect::Answer { downstream, place, answer });
     }
--- /dev/null
+++ b/src/features/file.rs
@@ -0,0 +1,74 @@
+//! Our own file: `name value` a line, `#` before a comment. It is read once, at the start.
+
+use super::multiget;
+use std::ops::RangeInclusive;
+
+/// The longest file that makes sense.
+const MOST: u64 = 1024 * 1024;
+
+/// What the file says; a feature that nothing in it turns on is `None`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Features {
+    pub multiget: Option<multiget::Settings>,
+}
+
+/// Reads the file; an error is one line that names the file and the line in it.
+pub fn load(path: &str) -> Result<Features, String> {
+    let size = std::fs::metadata(path).map_err(|e| format!("{path}: {e}"))?.len();
+    if size > MOST {
+        return Err(format!("{path}: larger than 1 MB"));
+    }
+    let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    read(&String::from_utf8_lossy(&bytes)).map_err(|(line, what)| format!("{path}:{line}: {what}"))
+}
+
+/// An error comes with the number of its line.
+fn read(text: &str) -> Result<Features, (usize, String)> {
+    let mut multiget = multiget::Settings::default();
+    let mut multigetport = None;
+    let mut seen: Vec<&str> = Vec::new();
+    for (i, line) in text.lines().enumerate() {
+        // A comment stands alone or behind white space: a path may hold a `#`.
+        let comment =
+            line.match_indices('#').find(|(at, _)| !line[..*at].ends_with(|c: char| !c.is_whitespace()));
+        let line = line[..comment.map_or(line.len(), |(at, _)| at)].trim();
+        if line.is_empty() {
+            continue;
+        }
+        let (name, value) = line.split_once(char::is_whitespace).unwrap_or((line, ""));
+        let value = value.trim();
+        let mut set = || {
+            match name {
+                "multigetport" => multigetport = Some(port(value)?),
+                "multigetmaxkeys" => multiget.max_keys = whole(value, 1..=multiget::READS)?,
+                _ => return Err("unknown setting".to_owned()),
+            }
+            Ok(())
+        };
+        set().map_err(|what| (i + 1, format!("{}: {what}", name.escape_debug())))?;
+        if seen.contains(&name) {
+            return Err((i + 1, format!("{name}: set twice")));
+        }
+        seen.push(name);
+    }
+    Ok(Features { multiget: multigetport.map(|port| multiget::Settings { port, ..multiget }) })
+}
+
+fn wanted<T>(value: &str, what: &str) -> Result<T, String> {
+    let value: String = value.chars().take(80).collect();
+    Err(format!("{what} is wanted, not \"{}\"", value.escape_debug()))
+}
+
+fn digits(value: &str) -> Option<usize> {
+    Some(value).filter(|v| v.bytes().all(|b| b.is_ascii_digit())).and_then(|v| v.parse().ok())
+}
+
+fn whole(value: &str, range: RangeInclusive<usize>) -> Result<usize, String> {
+    let what = || format!("a whole number from {} to {}", range.start(), range.end());
+    digits(value).filter(|n| range.contains(n)).map_or_else(|| wanted(value, &what()), Ok)
+}
+
+/// A port on the address of `listen`; 0 is one of the system's choice.
+fn port(value: &str) -> Result<u16, String> {
+    digits(value).and_then(|n| n.try_into().ok()).map_or_else(|| wanted(value, "a port"), Ok)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod choice;
 pub mod codec;
 pub mod core;
+pub mod features;
 pub mod interface;
 pub mod net;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,17 +6,39 @@
 mod owner;
 
 use async_executor::LocalExecutor;
+use martenweir::features::{file, multiget};
+use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
 
-const USAGE: &str = "usage: martenweir [--check] [CONFIG]\n\
-    CONFIG is a JSON file; without it NODE_CONFIG names it. --check reads it and exits.";
+const USAGE: &str = "usage: martenweir [--check] [--conf FILE] [CONFIG]
+       martenweir mget ADDRESS CACHE.GET KEY ID PROPERTIES [CACHE.GET ...]
+CONFIG is a JSON file; without it NODE_CONFIG names it. FILE turns features on, docs/features.md lists its
+settings. --check reads both and exits.
+mget: asks the multi-get port at ADDRESS for all these reads at once; fails unless each brings its value.";
 
 fn main() -> ExitCode {
-    let (mut check, mut path) = (false, std::env::var("NODE_CONFIG").ok());
-    for argument in std::env::args().skip(1) {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let command = match arguments.first().map(String::as_str) {
+        Some("mget") => multiget::command,
+        _ => return serve(arguments),
+    };
+    match command(&arguments[1..]) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => fail(&what),
+    }
+}
+
+fn serve(arguments: Vec<String>) -> ExitCode {
+    let (mut check, mut path, mut conf) = (false, std::env::var("NODE_CONFIG").ok(), None);
+    let mut arguments = arguments.into_iter();
+    while let Some(argument) = arguments.next() {
         match argument.as_str() {
             "--check" => check = true,
+            "--conf" => match arguments.next() {
+                Some(file) => conf = Some(file),
+                None => return fail("--conf wants a file"),
+            },
             "--version" | "-V" => {
                 println!("martenweir {}", env!("CARGO_PKG_VERSION"));
                 return ExitCode::SUCCESS;
@@ -26,9 +48,13 @@
                 return ExitCode::SUCCESS;
             }
             other if other.starts_with('-') => return fail(&format!("unknown option {other}\n{USAGE}")),
-            other => path = Some(other.to_owned()),
+            _ => path = Some(argument),
         }
     }
+    let features = match conf.as_deref().map(file::load).transpose() {
+        Ok(features) => features.unwrap_or_default(),
+        Err(what) => return fail(&what),
+    };
     let level = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(level).format_target(false).init();
     let Some(path) = path else { return fail("no configuration: name a file or set NODE_CONFIG") };
@@ -41,13 +67,14 @@
         Ok(config) => config,
     };
     let executor = Rc::new(LocalExecutor::new());
-    match async_io::block_on(executor.run(owner::run(config, path, executor.clone()))) {
+    match async_io::block_on(executor.run(owner::run(config, path, features, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => fail(&what),
     }
 }
 
+/// Standard error may be closed: nothing to be done about it, and no reason to panic.
 fn fail(what: &str) -> ExitCode {
-    eprintln!("martenweir: {what}");
+    let _ = writeln!(std::io::stderr(), "martenweir: {what}");
     ExitCode::FAILURE
 }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -1,8 +1,9 @@
 //! The clients' side: RESP commands in, answers out in the order of the commands.
 
-use super::{consume, read, tell, News, Queue};
+use super::{consume, read, tell, News, Port, Queue};
 use crate::codec::{discovery, resp};
 use crate::core::{Answer, Ask, DownstreamId, Input, Message};
+use crate::features::multiget::{self, Batches};
 use crate::interface::*;
 use crate::settings::Site;
 use async_channel::Receiver;
@@ -68,14 +69,20 @@
 }
 
 /// Accepts connections until the task is dropped, and none while `gate` says that the program is full.
-pub async fn accept(listener: Async<TcpListener>, queue: Queue, gate: Rc<Cell<bool>>, room: Receiver<()>) {
+pub async fn accept(
+    listener: Async<TcpListener>,
+    port: Port,
+    queue: Queue,
+    gate: Rc<Cell<bool>>,
+    room: Receiver<()>,
+) {
     loop {
         while gate.get() {
             // What comes now waits in the backlog: accepted and turned away, its requests would be lost.
             let _ = room.recv().await;
         }
         match listener.accept().await {
-            Ok((socket, _)) => tell(&queue, News::Accepted(socket)).await,
+            Ok((socket, peer)) => tell(&queue, News::Accepted(socket, peer, port)).await,
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
             Err(e) => {
                 // No descriptors: the connection stays in the backlog until the owner has found room.
@@ -88,13 +95,17 @@
 }
 
 /// A command as a local reply or a stream.
-enum Parsed {
+pub(crate) enum Parsed {
     Local(Vec<u8>),
     Ask(Box<Ask>),
+    /// A multi-get: one answer from several streams.
+    Asks(Vec<Ask>),
+    /// A part of a multi-get.
+    More,
     Close(Vec<u8>),
 }
 
-fn error(text: &str) -> Vec<u8> {
+pub(crate) fn error(text: &str) -> Vec<u8> {
     let mut out = Vec::new();
     resp::put_error(&mut out, text);
     out
@@ -107,7 +118,7 @@
 }
 
 impl Vocabulary {
-    fn parse(&self, downstream: DownstreamId, place: u64, words: Vec<Vec<u8>>) -> Parsed {
+    pub(crate) fn parse(&self, downstream: DownstreamId, place: u64, words: Vec<Vec<u8>>) -> Parsed {
         let Some(verb) = words.first().map(|w| w.to_ascii_uppercase()) else {
             return Parsed::Local(error("ERR empty command"));
         };
@@ -126,7 +137,12 @@
         }
     }
 
-    fn ask(&self, downstream: DownstreamId, place: u64, words: Vec<Vec<u8>>) -> Result<Ask, &'static str> {
+    pub(crate) fn ask(
+        &self,
+        downstream: DownstreamId,
+        place: u64,
+        words: Vec<Vec<u8>>,
+    ) -> Result<Ask, &'static str> {
         let mut words = words.into_iter();
         let mut word = || words.next().unwrap_or_default();
         let (verb, name, id, properties) = (word(), word(), word(), word());
@@ -175,9 +191,22 @@
     Wrote(io::Result<usize>),
 }
 
+/// What the task of a downstream is given: its socket, and the ways to and from the owner.
+pub struct Link {
+    pub id: DownstreamId,
+    pub socket: Async<TcpStream>,
+    pub orders: Receiver<Order>,
+    pub queue: Queue,
+    pub progress: Rc<Progress>,
+}
+
 struct Downstream {
-    id: DownstreamId,
-    socket: Async<TcpStream>,
+    link: Link,
+    words: Rc<Vocabulary>,
+    /// On the port for multi-gets.
+    batches: Option<Batches>,
+    /// How many of the answers belong to one multi-get; 0 where each stands alone.
+    batch: usize,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -189,53 +218,52 @@
 }
 
 /// Serves a downstream until it leaves, sends what is malformed or is told to finish.
-pub async fn serve(
-    id: DownstreamId,
-    socket: Async<TcpStream>,
-    orders: Receiver<Order>,
-    queue: Queue,
-    words: Rc<Vocabulary>,
-    progress: Rc<Progress>,
-) {
-    let _ = socket.get_ref().set_nodelay(true);
+pub async fn serve(link: Link, words: Rc<Vocabulary>, batches: Option<Batches>) {
+    let _ = link.socket.get_ref().set_nodelay(true);
     let (input, output, answers) = (Vec::new(), Vec::new(), VecDeque::new());
-    let mut d = Downstream { id, socket, input, output, written: 0, answers, first: 0, ending: false };
-    d.run(&orders, &queue, &words, &progress).await;
-    tell(&queue, Input::DownstreamClosed(id)).await;
+    let mut d = Downstream {
+        link,
+        words,
+        batches,
+        batch: 0,
+        input,
+        output,
+        written: 0,
+        answers,
+        first: 0,
+        ending: false,
+    };
+    d.run().await;
+    tell(&d.link.queue, Input::DownstreamClosed(d.link.id)).await;
 }
 
 impl Downstream {
-    async fn run(
-        &mut self,
-        orders: &Receiver<Order>,
-        queue: &Queue,
-        words: &Vocabulary,
-        progress: &Progress,
-    ) {
+    async fn run(&mut self) {
+        let (orders, progress) = (self.link.orders.clone(), self.link.progress.clone());
         loop {
-            self.commands(queue, words, progress).await;
+            self.commands().await;
             while let Ok(order) = orders.try_recv() {
                 self.order(order);
             }
-            while let Some(Some(_)) = self.answers.front() {
-                self.output.extend(self.answers.pop_front().flatten().unwrap_or_default());
-                self.first += 1;
-            }
+            self.flush();
             let unread = self.written < self.output.len();
             if self.ending && !unread && self.answers.is_empty() {
                 progress.waits.set(Waits::Close);
-                return self.finish().await;
+                return farewell(&self.link.socket).await;
             }
-            let asking = progress.steps.get() == 0 || !self.input.is_empty();
+            let begun = self.batches.as_ref().is_some_and(Batches::unfinished);
+            let asking = progress.steps.get() == 0 || !self.input.is_empty() || begun;
             progress.waits.set(match unread {
                 true => Waits::Peer,
                 _ if !self.answers.is_empty() => Waits::Answer,
                 _ if asking => Waits::Command,
                 _ => Waits::Nothing,
             });
-            let full = self.answers.len() >= STREAMS || self.output.len() > UNREAD;
+            // A multi-get fills its downstream alone: what comes behind it waits here, a command's length of it.
+            let full =
+                self.batches.is_none() && (self.answers.len() >= STREAMS || self.output.len() > UNREAD);
             let reads = !full && self.input.len() < resp::COMMAND;
-            let mut writer = &self.socket;
+            let mut writer = &self.link.socket;
             let write = async {
                 match unread {
                     true => Woken::Wrote(writer.write(&self.output[self.written..]).await),
@@ -244,7 +272,7 @@
             };
             let read = async {
                 match reads {
-                    true => Woken::Read(read(&self.socket, &mut self.input).await),
+                    true => Woken::Read(read(&self.link.socket, &mut self.input).await),
                     false => future::pending().await,
                 }
             };
@@ -257,6 +285,9 @@
                     if self.written == self.output.len() {
                         consume(&mut self.output, self.written);
                         self.written = 0;
+                        if let Some(batches) = self.batches.as_mut().filter(|_| self.batch == 0) {
+                            batches.written();
+                        }
                     }
                 }
                 // A second reading of the end after `ending` must not spin: who is gone is gone.
@@ -271,16 +302,24 @@
     }
 
     /// Takes the whole commands that have come, as far as there is room for their answers.
-    async fn commands(&mut self, queue: &Queue, words: &Vocabulary, progress: &Progress) {
+    async fn commands(&mut self) {
         let mut at = 0;
-        while !self.ending && self.answers.len() < STREAMS && at < self.input.len() {
+        while !self.ending && self.room() && at < self.input.len() {
             let place = self.first + self.answers.len() as u64;
             match resp::command(&self.input[at..]) {
                 Ok(None) => break,
                 Ok(Some((command, taken))) => {
                     at += taken;
-                    progress.step();
-                    match words.parse(self.id, place, command) {
+                    let (words, id) = (&self.words, self.link.id);
+                    let parsed = match &mut self.batches {
+                        Some(batches) => batches.take(words, id, place, command, taken),
+                        None => words.parse(id, place, command),
+                    };
+                    if !matches!(parsed, Parsed::More) {
+                        self.link.progress.step();
+                    }
+                    match parsed {
+                        Parsed::More => {}
                         Parsed::Local(answer) => self.answers.push_back(Some(answer)),
                         Parsed::Close(answer) => {
                             self.answers.push_back(Some(answer));
@@ -288,7 +327,14 @@
                         }
                         Parsed::Ask(ask) => {
                             self.answers.push_back(None);
-                            tell(queue, Input::Stream(*ask)).await;
+                            tell(&self.link.queue, Input::Stream(*ask)).await;
+                        }
+                        Parsed::Asks(asks) => {
+                            self.batch = asks.len();
+                            self.answers.extend(asks.iter().map(|_| None));
+                            for ask in asks {
+                                tell(&self.link.queue, Input::Stream(ask)).await;
+                            }
                         }
                     }
                 }
@@ -301,6 +347,28 @@
         consume(&mut self.input, at);
     }
 
+    /// Another command may be taken: a multi-get only once the answer to the one before it is written.
+    fn room(&self) -> bool {
+        match self.batches {
+            Some(_) => self.answers.is_empty() && self.output.is_empty(),
+            None => self.answers.len() < STREAMS,
+        }
+    }
+
+    /// Takes over what may be written: answers in their order, those of a multi-get all at once.
+    fn flush(&mut self) {
+        let whole = self.answers.iter().take_while(|a| a.is_some()).count();
+        if whole < self.batch {
+            return;
+        }
+        self.first += whole as u64;
+        let answers = self.answers.drain(..whole).map(Option::unwrap_or_default);
+        if std::mem::take(&mut self.batch) > 0 {
+            return multiget::put(&mut self.output, answers);
+        }
+        answers.for_each(|answer| self.output.extend(answer));
+    }
+
     fn order(&mut self, order: Order) {
         match order {
             Order::Finish => self.ending = true,
@@ -312,7 +380,8 @@
                         resp::put_error(&mut out, &format!("BUSY {}", after / 1000));
                     }
                     Answer::Busy(_) => resp::put_error(&mut out, "BUSY"),
-                    Answer::Failed => resp::put_error(&mut out, "ERR failed"),
+                    Answer::Late if self.batch > 0 => resp::put_error(&mut out, "BUSY"),
+                    Answer::Failed | Answer::Late => resp::put_error(&mut out, "ERR failed"),
                     Answer::Taken => resp::put_error(&mut out, "ERR the id of an open request"),
                 }
                 if let Some(owed) = self.answers.get_mut(place.wrapping_sub(self.first) as usize) {
@@ -321,19 +390,19 @@
             }
         }
     }
+}
 
-    /// Says that no more will come, and reads on until the peer has closed too: closing with bytes unread
-    /// would reset the connection and could take an answer with it. Who goes on sending all the same is cut off.
-    async fn finish(&mut self) {
-        let _ = self.socket.get_ref().shutdown(std::net::Shutdown::Write);
-        let mut left = FAREWELL;
-        self.input = Vec::new();
-        while let Ok(n @ 1..) = read(&self.socket, &mut self.input).await {
-            self.input.clear();
-            left = left.saturating_sub(n);
-            if left == 0 {
-                return;
-            }
+/// Says that no more will come, and reads on until the peer has closed too: closing with bytes unread
+/// would reset the connection and could take an answer with it. Who goes on sending all the same is cut off.
+pub(crate) async fn farewell(socket: &Async<TcpStream>) {
+    let _ = socket.get_ref().shutdown(std::net::Shutdown::Write);
+    let mut left = FAREWELL;
+    let mut input = Vec::new();
+    while let Ok(n @ 1..) = read(socket, &mut input).await {
+        input.clear();
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,7 +11,7 @@
 use futures_lite::future;
 use std::cell::RefCell;
 use std::io::{self, Read};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 
 /// Most bytes read at once.
 const READ: usize = 16 * 1024;
@@ -21,11 +21,19 @@
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
 }
 
+/// What is spoken on a port that the proxy listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// Where clients connect.
+    Main,
+    Multiget,
+}
+
 /// What sockets tell the one task that owns the core.
 #[derive(Debug)]
 pub enum News {
     Core(Input),
-    Accepted(Async<TcpStream>),
+    Accepted(Async<TcpStream>, SocketAddr, Port),
     /// No descriptor was left for a connection: something idle has to go.
     Crowded,
     /// A local fault worth a line in the log.
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -9,14 +9,16 @@
 use futures_lite::{future, StreamExt};
 use log::{info, warn};
 use martenweir::core::{ConnectionId, Core, DownstreamId, Effect, Input, Job};
+use martenweir::features::file::Features;
+use martenweir::features::multiget::Batches;
 use martenweir::interface::Micros;
-use martenweir::net::downstream::{self, Order, Progress, Vocabulary, Waits};
+use martenweir::net::downstream::{self, Link, Order, Progress, Vocabulary, Waits};
 use martenweir::net::upstream::{self, Dialect};
-use martenweir::net::{cluster, News, Queue};
+use martenweir::net::{cluster, News, Port, Queue};
 use martenweir::settings::Site;
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -109,14 +111,18 @@
     words: Rc<Vocabulary>,
     /// The configuration file, and what of it a reload may change.
     path: String,
-    discovery: std::net::SocketAddr,
+    discovery: SocketAddr,
+    features: Features,
+    /// Reads that multi-gets have open, all downstreams together.
+    reads: Rc<Cell<usize>>,
     downstreams: HashMap<DownstreamId, Downstream>,
     upstreams: HashMap<ConnectionId, Upstream>,
     watch: Option<Task<()>>,
-    accept: Option<Task<()>>,
-    /// Closed while no more downstreams fit; `room` wakes who waits for it.
+    /// One for each port; none once the planned end takes no more.
+    accept: Vec<Task<()>>,
+    /// Closed while no more downstreams fit; `room` wakes who waits for it at each port.
     gate: Rc<Cell<bool>>,
-    room: Sender<()>,
+    room: Vec<Sender<()>>,
     most_downstreams: usize,
     /// From here on a new one takes the place of one that idles: who holds connections must not keep others out.
     ample_downstreams: usize,
@@ -130,21 +136,44 @@
     closed: u64,
 }
 
-pub async fn run(config: Config, path: String, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
-    let listener = Async::<TcpListener>::bind(config.listen);
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+/// Binds a port, on the address of `listen`.
+fn bind(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), String> {
+    let failed = |e| format!("cannot listen on {address}: {e}");
+    let listener = Async::<TcpListener>::bind(address).map_err(failed)?;
+    let bound = listener.get_ref().local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+pub async fn run(
+    config: Config,
+    path: String,
+    features: Features,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), String> {
+    let (listener, address) = bind(config.listen)?;
+    let mut ports = vec![(listener, Port::Main)];
+    info!("{}: listening on {address}, {} nodes known", config.name, config.known.nodes.len());
+    for (name, number, port) in [("multi-get", features.multiget.as_ref().map(|m| m.port), Port::Multiget)] {
+        let Some(number) = number else { continue };
+        let (listener, address) = bind(SocketAddr::new(config.listen.ip(), number))?;
+        info!("{name}: listening on {address}");
+        ports.push((listener, port));
+    }
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
-    let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
     let (queue, news) = async_channel::bounded(QUEUE);
-    let (room, wait_for_room) = async_channel::bounded(1);
     let gate = Rc::new(Cell::new(false));
-    let accept = downstream::accept(listener, queue.clone(), gate.clone(), wait_for_room);
+    let (mut room, mut accept) = (Vec::new(), Vec::new());
+    for (listener, port) in ports {
+        let (wake, wait) = async_channel::bounded(1);
+        let task = downstream::accept(listener, port, queue.clone(), gate.clone(), wait);
+        accept.push(executor.spawn(task));
+        room.push(wake);
+    }
     let clock = Clock::new();
     let now = clock.now();
     let upstream_sockets = (config.sockets - RESERVE) * 2 / 5;
     let site = Rc::new(config.site);
-    info!("{}: listening on {address}, {} nodes known", config.name, config.known.nodes.len());
     let mut owner = Owner {
         core: Core::new(now, site.settings.clone(), config.seed, upstream_sockets, config.known),
         words: Rc::new(Vocabulary { site: site.clone(), ready: false.into() }),
@@ -155,7 +184,9 @@
         downstreams: HashMap::new(),
         upstreams: HashMap::new(),
         watch: None,
-        accept: Some(executor.spawn(accept)),
+        accept,
+        features,
+        reads: Rc::default(),
         gate,
         room,
         most_downstreams: config.sockets - RESERVE - upstream_sockets,
@@ -224,11 +255,11 @@
                     // The one place where a downstream's descriptor is given back.
                     self.downstreams.remove(&id);
                     self.gate.set(false);
-                    let _ = self.room.try_send(());
+                    self.wake_accept();
                 }
                 self.core.input(now, input);
             }
-            News::Accepted(socket) => self.accepted(now, socket),
+            News::Accepted(socket, _, port) => self.accepted(now, socket, port),
             News::Crowded => self.close_idle_downstream(0),
             News::Note(text) => {
                 self.notes += 1;
@@ -258,17 +289,26 @@
         }
     }
 
-    fn accepted(&mut self, now: Micros, socket: Async<TcpStream>) {
+    fn wake_accept(&self) {
+        for room in &self.room {
+            let _ = room.try_send(());
+        }
+    }
+
+    fn accepted(&mut self, now: Micros, socket: Async<TcpStream>, port: Port) {
         if let Some(ending) = &mut self.ending {
             ending.last_accepted = now;
         }
         self.last_id += 1;
         let id = DownstreamId(self.last_id);
-        let (orders, ordered) = async_channel::bounded(downstream::STREAMS + 2);
+        let multiget = self.features.multiget.as_ref().filter(|_| port == Port::Multiget);
+        let streams = multiget.map_or(downstream::STREAMS, |m| m.max_keys);
+        let (orders, ordered) = async_channel::bounded(streams + 2);
         let progress = Rc::new(Progress::default());
-        let (queue, words) = (self.queue.clone(), self.words.clone());
-        let serve = downstream::serve(id, socket, ordered, queue, words, progress.clone());
-        let task = self.executor.spawn(serve);
+        let link =
+            Link { id, socket, orders: ordered, queue: self.queue.clone(), progress: progress.clone() };
+        let batches = multiget.map(|m| Batches::new(m, self.reads.clone()));
+        let task = self.executor.spawn(downstream::serve(link, self.words.clone(), batches));
         let one = Downstream {
             orders,
             progress,
@@ -339,7 +379,7 @@
     fn sweep(&mut self, now: Micros) {
         self.swept = now;
         // Who waits for a descriptor tries again now and then, whoever gave one back.
-        let _ = self.room.try_send(());
+        self.wake_accept();
         let waited = now - self.started >= PATIENCE && self.core.has_nodes();
         if !self.words.ready.get() && (self.core.told() || waited) {
             self.words.ready.set(true);
@@ -408,7 +448,7 @@
         if (age < ACCEPT || quiet < ACCEPT_QUIET) && age < ACCEPT_MOST {
             return false;
         }
-        self.accept = None;
+        self.accept.clear();
         for d in self.downstreams.values_mut().filter(|d| !d.finishing) {
             d.finishing = true;
             let _ = d.orders.try_send(Order::Finish);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -20,7 +20,11 @@
 
 impl Proxy {
     fn new() -> Proxy {
-        let class = Class { limit: 2_000 * MS, repeat: Repeat::Retryable, ..Class::default() };
+        Proxy::with(Repeat::Retryable)
+    }
+
+    fn with(repeat: Repeat) -> Proxy {
+        let class = Class { limit: 2_000 * MS, repeat, ..Class::default() };
         let settings = Settings {
             classes: vec![class],
             may_copy: true,
@@ -104,6 +108,25 @@
     assert!(has(&effects, |e| matches!(e, Effect::Close { connection } if *connection == c)));
 }
 
+/// A stream that may not be called harmless is failed; the core says whether that was for want of time.
+#[test]
+fn a_stream_that_ran_out_of_time_is_told_from_one_that_failed() {
+    let answer = |effects: Vec<Effect>| {
+        effects.into_iter().find_map(|e| match e {
+            Effect::Answer { answer, .. } => Some(answer),
+            _ => None,
+        })
+    };
+    let mut p = Proxy::with(Repeat::Fragile);
+    let c = dialled(&p.ask(100 * MS)).expect("a dial");
+    assert!(written(&p.input(Input::Connected(c))));
+    assert_eq!(answer(p.pass(100 * MS)), Some(Answer::Late));
+    let mut p = Proxy::with(Repeat::Fragile);
+    let c = dialled(&p.ask(1_000 * MS)).expect("a dial");
+    assert!(written(&p.input(Input::Connected(c))));
+    assert_eq!(answer(p.input(Input::Broken(c, Stage::Reading))), Some(Answer::Failed));
+}
+
 /// Guards against a first byte after the downstream has given up, and a stream without an answer.
 #[test]
 fn a_request_that_waits_past_its_time_is_answered_and_never_written() {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,10 +5,13 @@
 //! - `NAME >> WORDS`: sends a command, or a chunk of discovery's; `NAME > TEXT`: sends bytes as they are.
 //! - `NAME << WORDS`, `NAME < TEXT`: expects just that; `#` stands for some digits in words.
 //! - `NAME close`, `NAME closed`: closes, expects the end. `term`, `exit`: SIGTERM, expects a clean end.
+//! - `feature LINE`: a line of our own file. `NAME run WORDS`: starts a subcommand; `NAME says TEXT` expects its next
+//!   line, `NAME ends CODE` its end.
+//! - `repeat N STEP`: the step N times, `{i}` being 0, 1, 2 ...
 //! - `config POINTER WORD`: replaces the file, `hup`: SIGHUP, `log TEXT`: waits for a line of the log.
 //!
-//! `c1` is a client's first connection, `a2` the second that node `a` accepted; `{a}` is the address of `a`; `d` and
-//! `e` are discovery's.
+//! `c1` is a client's first connection, `m1` one to the multi-get port, `a2` the second that node `a` accepted; `{a}`
+//! and `{m}` are addresses; `d` and `e` are discovery's.
 
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -16,7 +19,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -25,18 +28,23 @@
 
 struct Play {
     program: Child,
-    listen: String,
+    /// What the program listens on, by the first letter of who connects there.
+    listen: BTreeMap<char, String>,
     listeners: BTreeMap<String, TcpListener>,
     connections: BTreeMap<String, TcpStream>,
     config: serde_json::Value,
     path: PathBuf,
     log: Receiver<String>,
+    commands: BTreeMap<String, (Child, BufReader<ChildStdout>)>,
 }
 
 impl Drop for Play {
     fn drop(&mut self) {
-        let _ = self.program.kill();
-        let _ = self.program.wait();
+        let commands = self.commands.values_mut().map(|(child, _)| child);
+        for child in commands.chain([&mut self.program]) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
@@ -101,17 +109,28 @@
         let path = dir.join("config.json");
         write(&path, config.to_string()).expect("a file");
         let mut program = Command::new(env!("CARGO_BIN_EXE_martenweir"));
-        let mut program = program.arg(&path).stderr(Stdio::piped()).spawn().expect("the program starts");
+        let conf = dir.join("martenweir.conf");
+        write(&conf, line("feature ").collect::<Vec<_>>().join("\n")).expect("a file");
+        let program = program.arg("--conf").arg(&conf).arg(&path);
+        let mut program = program.stderr(Stdio::piped()).spawn().expect("the program starts");
         let mut log = BufReader::new(program.stderr.take().expect("its log"));
-        let mut told = String::new();
-        log.read_line(&mut told).expect("a first line");
-        let listen =
-            told.split("listening on ").nth(1).and_then(|t| t.split(',').next()).expect("its address");
-        let listen = listen.to_owned();
+        let mut address = || {
+            let mut told = String::new();
+            log.read_line(&mut told).expect("a line");
+            let address = told.split("listening on ").nth(1).and_then(|t| t.trim().split(',').next());
+            address.expect("its address").to_owned()
+        };
+        let mut listen = BTreeMap::from([('c', address())]);
+        for (setting, name) in [("multigetport", 'm'), ("tapport", 't')] {
+            if line("feature ").any(|l| l.starts_with(setting)) {
+                listen.insert(name, address());
+            }
+        }
         let (said, heard) = std::sync::mpsc::channel();
         std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(said.send(l))));
         let connections = BTreeMap::new();
-        let mut play = Play { program, listen, listeners, connections, config, path, log: heard };
+        let commands = BTreeMap::new();
+        let mut play = Play { program, listen, listeners, connections, config, path, log: heard, commands };
         let head = format!(
             "GET /registry/instances?watch=1&after=1 HTTP/1.1\\r\\nHost: {}\\r\\n\\r\\n",
             local(&play.listeners["d"])
@@ -140,7 +159,10 @@
             let listener = self.listeners.get(name.trim_end_matches(|c: char| c.is_ascii_digit()));
             let socket = match listener {
                 Some(listener) => accept(listener, name),
-                None => TcpStream::connect(&self.listen).expect("the program accepts"),
+                None => {
+                    let port = name.chars().next().filter(|c| self.listen.contains_key(c)).unwrap_or('c');
+                    TcpStream::connect(&self.listen[&port]).expect("the program accepts")
+                }
             };
             socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
             socket.set_nodelay(true).expect("no delay");
@@ -161,11 +183,12 @@
 
     fn step(&mut self, line: &str) {
         let addresses = self.listeners.iter().map(|(n, l)| (format!("{{{n}}}"), local(l)));
+        let addresses = addresses.chain(self.listen.iter().map(|(n, a)| (format!("{{{n}}}"), a.clone())));
         let line = addresses.fold(line.to_owned(), |line, (n, address)| line.replace(&n, &address));
         let (name, rest) = line.split_once(' ').unwrap_or((&line, ""));
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         match (name, verb) {
-            ("" | "#" | "nodes" | "set", _) => {}
+            ("" | "#" | "nodes" | "set" | "feature", _) => {}
             ("term" | "hup", _) => {
                 let signal = format!("-{}", name.to_uppercase());
                 let kill = Command::new("kill").args([&signal, &self.program.id().to_string()]).status();
@@ -178,6 +201,28 @@
             ("log", _) => {
                 while !self.log.recv_timeout(PATIENCE).expect("a line of the log").contains(rest) {}
             }
+            ("repeat", times) => {
+                for i in 0..times.parse().expect("a count") {
+                    self.step(&text.replace("{i}", &i.to_string()));
+                }
+            }
+            (_, "run") => {
+                let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
+                let child = command.args(text.split(' ')).stdout(Stdio::piped()).stderr(Stdio::null());
+                let mut child = child.spawn().expect("a subcommand");
+                let said = BufReader::new(child.stdout.take().expect("what it says"));
+                self.commands.insert(name.to_owned(), (child, said));
+            }
+            (_, "says") => {
+                let mut said = String::new();
+                let (_, from) = self.commands.get_mut(name).expect("a subcommand");
+                from.read_line(&mut said).expect("a line");
+                assert!(matches(text, said.trim_end()), "{name}: expected {text:?}, got {said:?}");
+            }
+            (_, "ends") => {
+                let (mut child, _) = self.commands.remove(name).expect("a subcommand");
+                assert_eq!(child.wait().expect("an end").code(), text.parse().ok(), "{name}");
+            }
             ("exit", _) => assert!(self.program.wait().expect("an end").success()),
             ("d1" | "d2" | "e1", ">>") => {
                 let text = format!("{text}\n");
@@ -239,6 +284,29 @@
     std::fs::remove_dir_all(&dir).expect("the folder goes");
 }
 
+/// Our own file: what cannot be used is told in one line with its number, and nothing runs; `--check` reads it too.
+#[rstest]
+#[case::fine("# nothing\n multigetport 0 # but a port\n\tmultigetmaxkeys\t2\r\n", None)]
+#[case::unknown("multigetport 7100\nmultigetports 1", Some(":2: multigetports: unknown setting"))]
+#[case::bad_value("\n\nmultigetport 70000", Some(":3: multigetport: a port is wanted, not \"70000\""))]
+#[case::no_value("multigetport", Some(":1: multigetport: a port is wanted"))]
+#[case::sign("multigetmaxkeys +2", Some(":1: multigetmaxkeys: a whole number from 1 to 256 is wanted"))]
+#[case::twice("multigetport 1\nmultigetport 1", Some(":2: multigetport: set twice"))]
+fn own_file(#[case] text: &str, #[case] told: Option<&str>) {
+    let dir = std::env::temp_dir().join(format!("martenweir-{}-{:x}", std::process::id(), text.len()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let path = dir.join("martenweir.conf");
+    write(&path, text).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
+    let command = command.args(["--check", "--conf"]).arg(&path).arg("examples/config.json");
+    let end = command.output().expect("it runs");
+    let said = String::from_utf8_lossy(&end.stderr);
+    assert_eq!(end.status.success(), told.is_none(), "{said}");
+    assert_eq!(said.lines().count(), usize::from(told.is_some()), "{said}");
+    assert!(told.is_none_or(|t| said.contains(&format!("martenweir.conf{t}"))), "{said}");
+    let _ = std::fs::remove_dir_all(&dir);
+}
+
 /// A configuration that cannot be used is told in one line, and the program does not run.
 #[rstest]
 #[case::missing(None, "No such file")]
