Add address lists: allow, deny, and PROXY headers from fronts

Change: allow, deny and proxyfrom lines judge the caller's real address at accept or behind the header of a front; codec/proxy.rs reads versions 1 and 2.

Seen: over loopback both versions name the caller in the log; refusals close at accept, one line a second tells how many; a header from elsewhere closes, also in pieces.

Ruled out: refusing in the owner, since a refused socket would have taken a downstream's slot; the accept task yields after each refusal, or one that connects without end would keep the only thread.

--- a/src/codec/mod.rs
+++ b/src/codec/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod discovery;
 pub mod http;
+pub mod proxy;
 pub mod resp;
 
 /// Why bytes are no message: for the log, and for a downstream's `-ERR`.
--- /dev/null
+++ b/src/features/addresses.rs
@@ -0,0 +1,163 @@
+//! Address lists: who may connect, and for whom fronts speak. The caller's real address is judged.
+
+use crate::codec::proxy::{self, Source};
+use crate::interface::Micros;
+use crate::net::downstream::{farewell, Link, Waits};
+use crate::net::{read, tell, Caller, News};
+use futures_lite::future;
+use ipnet::{IpNet, Ipv4Net};
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+
+/// Refused connections are told once in this time at the most.
+const TELL: Micros = 1_000_000;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Lists {
+    pub allow: Vec<IpNet>,
+    pub deny: Vec<IpNet>,
+    pub proxyfrom: Vec<IpNet>,
+}
+
+/// An IPv4 address that came mapped into IPv6 is the IPv4 address.
+pub fn unmapped(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip().to_canonical(), address.port())
+}
+
+/// A range like `10.20.0.0/16`, or a single address; bits behind the prefix count for nothing.
+pub fn network(text: &str) -> Option<IpNet> {
+    let network = text.parse().ok().or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from))?;
+    let mapped = match network {
+        IpNet::V6(n) if n.prefix_len() >= 96 => n.addr().to_ipv4_mapped().map(|ip| (ip, n.prefix_len() - 96)),
+        _ => None,
+    };
+    let network = match mapped {
+        Some((ip, prefix)) => IpNet::V4(Ipv4Net::new(ip, prefix).ok()?),
+        None => network,
+    };
+    Some(network.trunc())
+}
+
+fn holds(list: &[IpNet], ip: IpAddr) -> bool {
+    let ip = ip.to_canonical();
+    list.iter().any(|n| n.contains(&ip))
+}
+
+impl Lists {
+    /// Whether a caller may connect: a deny line wins, and without allow lines all others may.
+    pub fn admits(&self, ip: IpAddr) -> bool {
+        !holds(&self.deny, ip) && (self.allow.is_empty() || holds(&self.allow, ip))
+    }
+
+    /// Whether a connection from there must begin with a PROXY header.
+    pub fn trusts(&self, ip: IpAddr) -> bool {
+        holds(&self.proxyfrom, ip)
+    }
+}
+
+/// The lists at work, and what is still to be told of those they refused.
+#[derive(Debug)]
+pub struct Addresses {
+    lists: Lists,
+    refused: Cell<u64>,
+    last: RefCell<Option<Caller>>,
+    told: Cell<Micros>,
+}
+
+impl Addresses {
+    pub fn new(lists: Lists) -> Self {
+        Addresses { lists, refused: Cell::new(0), last: RefCell::default(), told: Cell::new(0) }
+    }
+
+    /// Judges a socket at accept: a front is let in unless it is denied itself, and whom it speaks for is
+    /// judged behind its header.
+    pub fn accepts(&self, peer: SocketAddr) -> bool {
+        let front = self.trusts(peer) && !holds(&self.lists.deny, peer.ip());
+        front || self.admits(&Caller { client: peer, via: None })
+    }
+
+    pub fn trusts(&self, peer: SocketAddr) -> bool {
+        self.lists.trusts(peer.ip())
+    }
+
+    fn admits(&self, caller: &Caller) -> bool {
+        let admitted = self.lists.admits(caller.client.ip());
+        if !admitted {
+            self.refused.set(self.refused.get() + 1);
+            *self.last.borrow_mut() = Some(caller.clone());
+        }
+        admitted
+    }
+
+    /// A line about those that were refused since the last one, if it is time for one or this is the end.
+    pub fn told(&self, now: Micros, end: bool) -> Option<String> {
+        if self.refused.get() == 0 || (now - self.told.get() < TELL && !end) {
+            return None;
+        }
+        self.told.set(now);
+        let (n, last) = (self.refused.take(), self.last.take()?);
+        Some(format!("{n} connections refused by the address lists, the last {last}"))
+    }
+
+    /// Learns who has connected before anything of the protocol is read. `false`: it is to be closed.
+    pub async fn introduce(&self, link: &mut Link) -> bool {
+        let peer = link.caller.client;
+        let trusted = self.trusts(peer);
+        let mut input = Vec::new();
+        loop {
+            let header = if trusted { proxy::header(&input) } else { Ok(None) };
+            match (header, proxy::begins(&input)) {
+                (Ok(Some((source, taken))), _) => {
+                    if let Source::Client(client) = source {
+                        link.caller = Caller { client: unmapped(client), via: Some(peer) };
+                    }
+                    if !self.admits(&link.caller) {
+                        return false;
+                    }
+                    tell(&link.queue, News::Fronted(link.caller.clone())).await;
+                    input.drain(..taken);
+                    link.progress.waits.set(Waits::Command);
+                    break;
+                }
+                (Err(malformed), _) => {
+                    let note = format!("client={peer} closed: {}", malformed.0);
+                    tell(&link.queue, News::Note(note)).await;
+                    return false;
+                }
+                (_, Some(true)) if !trusted => {
+                    let note = format!("client={peer} closed: a PROXY header, but no front of ours");
+                    tell(&link.queue, News::Note(note)).await;
+                    return false;
+                }
+                (_, Some(false)) if !trusted => break,
+                _ => {}
+            }
+            let order = async {
+                let _ = link.orders.recv().await;
+                None
+            };
+            match future::or(order, async { Some(read(&link.socket, &mut input).await) }).await {
+                Some(Ok(1..)) => {}
+                Some(_) => return false,
+                // A planned end, and nothing was asked here.
+                None => {
+                    link.progress.waits.set(Waits::Close);
+                    farewell(&link.socket).await;
+                    return false;
+                }
+            }
+        }
+        link.input.set(input);
+        true
+    }
+}
+
+/// `martenweir checkaddr FILE ADDRESS`: whether the file's lists let a caller in.
+pub fn command(arguments: &[String]) -> Result<(), String> {
+    let [file, address] = arguments else { return Err("checkaddr FILE ADDRESS".into()) };
+    let features = super::file::load(file)?;
+    let ip: IpAddr = address.parse().map_err(|_| format!("checkaddr: not an address: {address}"))?;
+    let admitted = features.addresses.unwrap_or_default().admits(ip);
+    println!("{}", if admitted { "allow" } else { "deny" });
+    Ok(())
+}
--- a/src/features/file.rs
+++ b/src/features/file.rs
@@ -1,6 +1,6 @@
 //! Our own file: `name value` a line, `#` before a comment. It is read once, at the start.
 
-use super::{multiget, tap};
+use super::{addresses, multiget, tap};
 use std::ops::RangeInclusive;
 
 /// The longest file that makes sense.
@@ -11,6 +11,7 @@
 pub struct Features {
     pub multiget: Option<multiget::Settings>,
     pub tap: Option<tap::Settings>,
+    pub addresses: Option<addresses::Lists>,
 }
 
 /// Reads the file; an error is one line that names the file and the line in it.
@@ -27,6 +28,7 @@
 fn read(text: &str) -> Result<Features, (usize, String)> {
     let mut multiget = multiget::Settings::default();
     let mut tap = tap::Settings::default();
+    let mut lists = addresses::Lists::default();
     let (mut multigetport, mut tapport) = (None, None);
     let mut seen: Vec<&str> = Vec::new();
     for (i, line) in text.lines().enumerate() {
@@ -47,12 +49,16 @@
                 "tapsample" => tap.sample = fraction(value)?,
                 "tapbuffer" => tap.buffer = size(value, 1024..=64 * 1024 * 1024)?,
                 "tapwatchers" => tap.watchers = whole(value, 1..=64)?,
+                "allow" => lists.allow.push(network(value)?),
+                "deny" => lists.deny.push(network(value)?),
+                "proxyfrom" => lists.proxyfrom.push(network(value)?),
                 _ => return Err("unknown setting".to_owned()),
             }
             Ok(())
         };
         set().map_err(|what| (i + 1, format!("{}: {what}", name.escape_debug())))?;
-        if seen.contains(&name) {
+        let many = matches!(name, "allow" | "deny" | "proxyfrom");
+        if !many && seen.contains(&name) {
             return Err((i + 1, format!("{name}: set twice")));
         }
         seen.push(name);
@@ -60,6 +66,7 @@
     Ok(Features {
         multiget: multigetport.map(|port| multiget::Settings { port, ..multiget }),
         tap: tapport.map(|port| tap::Settings { port, ..tap }),
+        addresses: Some(lists).filter(|lists| *lists != addresses::Lists::default()),
     })
 }
 
@@ -77,6 +84,10 @@
     digits(value).filter(|n| range.contains(n)).map_or_else(|| wanted(value, &what()), Ok)
 }
 
+fn network(value: &str) -> Result<ipnet::IpNet, String> {
+    addresses::network(value).map_or_else(|| wanted(value, "a range like 10.20.0.0/16"), Ok)
+}
+
 fn fraction(value: &str) -> Result<f64, String> {
     let plain = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let part = value.parse::<f64>().ok().filter(|x| plain && *x > 0.0 && *x <= 1.0);
--- a/src/features/tap.rs
+++ b/src/features/tap.rs
@@ -2,7 +2,7 @@
 //! read is held up to a bound, then the watcher is cut; nobody ever waits for one.
 
 use crate::codec::discovery;
-use crate::core::{Ended, Input, Record};
+use crate::core::{Ended, Record};
 use crate::interface::{ClassId, TenantId};
 use crate::net::downstream::{farewell, Link, Order, Waits};
 use crate::net::{read, tell, News};
@@ -228,11 +228,7 @@
 
 /// Serves a watcher until it leaves, reads too slowly or the program ends.
 pub async fn serve(link: Link, tap: Rc<Tap>) {
-    run(&link, &tap).await;
-    tell(&link.queue, Input::DownstreamClosed(link.id)).await;
-}
-
-async fn run(link: &Link, tap: &Tap) {
+    let (link, tap) = (&link, &tap);
     let seat = filter(link, &tap.site).await.and_then(|f| tap.join(f));
     let left = match seat {
         Ok((seat, woken)) => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 mod owner;
 
 use async_executor::LocalExecutor;
-use martenweir::features::{file, multiget, tap};
+use martenweir::features::{addresses, file, multiget, tap};
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -14,16 +14,19 @@
 const USAGE: &str = "usage: martenweir [--check] [--conf FILE] [CONFIG]
        martenweir mget ADDRESS CACHE.GET KEY ID PROPERTIES [CACHE.GET ...]
        martenweir tap ADDRESS [class=NAME] [tenant=NAME]
+       martenweir checkaddr FILE ADDRESS
 CONFIG is a JSON file; without it NODE_CONFIG names it. FILE turns features on, docs/features.md lists its
 settings. --check reads both and exits.
 mget: asks the multi-get port at ADDRESS for all these reads at once; fails unless each brings its value.
-tap: prints a line for each sampled request that matches, as the tap port at ADDRESS tells them.";
+tap: prints a line for each sampled request that matches, as the tap port at ADDRESS tells them.
+checkaddr: prints allow or deny, as FILE has it for a caller at ADDRESS.";
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let command = match arguments.first().map(String::as_str) {
         Some("mget") => multiget::command,
         Some("tap") => tap::command,
+        Some("checkaddr") => addresses::command,
         _ => return serve(arguments),
     };
     match command(&arguments[1..]) {
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -3,6 +3,7 @@
 use super::{consume, read, tell, Caller, News, Port, Queue};
 use crate::codec::{discovery, resp};
 use crate::core::{Answer, Ask, DownstreamId, Input, Message};
+use crate::features::addresses::{unmapped, Addresses};
 use crate::features::multiget::{self, Batches};
 use crate::interface::*;
 use crate::settings::Site;
@@ -12,7 +13,7 @@
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 /// Streams that one downstream may have open, and bytes it may leave unread before no more are taken.
@@ -34,6 +35,8 @@
 /// What a downstream is up to, for the owner's sweeps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Waits {
+    /// For the PROXY header of a front.
+    Header,
     /// For its first whole command, or for the rest of one.
     #[default]
     Command,
@@ -75,14 +78,23 @@
     queue: Queue,
     gate: Rc<Cell<bool>>,
     room: Receiver<()>,
+    addresses: Option<Rc<Addresses>>,
 ) {
+    let accepts = |peer: SocketAddr| addresses.as_ref().is_none_or(|a| a.accepts(peer));
     loop {
         while gate.get() {
             // What comes now waits in the backlog: accepted and turned away, its requests would be lost.
             let _ = room.recv().await;
         }
         match listener.accept().await {
-            Ok((socket, peer)) => tell(&queue, News::Accepted(socket, peer, port)).await,
+            Ok((socket, peer)) if accepts(unmapped(peer)) => {
+                tell(&queue, News::Accepted(socket, unmapped(peer), port)).await;
+            }
+            // Closed, and no downstream; who connects again at once must not keep the others from their turn.
+            Ok(refused) => {
+                drop(refused);
+                future::yield_now().await;
+            }
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
             Err(e) => {
                 // No descriptors: the connection stays in the backlog until the owner has found room.
@@ -237,7 +249,6 @@
         ending: false,
     };
     d.run().await;
-    tell(&d.link.queue, Input::DownstreamClosed(d.link.id)).await;
 }
 
 impl Downstream {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,11 +25,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller {
     pub client: SocketAddr,
+    /// The front that it came through.
+    pub via: Option<SocketAddr>,
 }
 
 impl std::fmt::Display for Caller {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "client={}", self.client)
+        write!(f, "client={}", self.client)?;
+        self.via.map_or(Ok(()), |via| write!(f, " via={via}"))
     }
 }
 
@@ -47,6 +50,8 @@
 pub enum News {
     Core(Input),
     Accepted(Async<TcpStream>, SocketAddr, Port),
+    /// A front has said for whom a connection is; told in the log, each of them.
+    Fronted(Caller),
     /// No descriptor was left for a connection: something idle has to go.
     Crowded,
     /// A local fault worth a line in the log.
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -9,6 +9,7 @@
 use futures_lite::{future, StreamExt};
 use log::{info, warn};
 use martenweir::core::{ConnectionId, Core, DownstreamId, Effect, Input, Job};
+use martenweir::features::addresses::Addresses;
 use martenweir::features::file::Features;
 use martenweir::features::multiget::Batches;
 use martenweir::features::tap::{self, Tap};
@@ -118,6 +119,7 @@
     /// Reads that multi-gets have open, all downstreams together.
     reads: Rc<Cell<usize>>,
     tap: Option<Rc<Tap>>,
+    addresses: Option<Rc<Addresses>>,
     downstreams: HashMap<DownstreamId, Downstream>,
     upstreams: HashMap<ConnectionId, Upstream>,
     watch: Option<Task<()>>,
@@ -170,10 +172,11 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let (queue, news) = async_channel::bounded(QUEUE);
     let gate = Rc::new(Cell::new(false));
+    let addresses = features.addresses.clone().map(|lists| Rc::new(Addresses::new(lists)));
     let (mut room, mut accept) = (Vec::new(), Vec::new());
     for (listener, port) in ports {
         let (wake, wait) = async_channel::bounded(1);
-        let task = downstream::accept(listener, port, queue.clone(), gate.clone(), wait);
+        let task = downstream::accept(listener, port, queue.clone(), gate.clone(), wait, addresses.clone());
         accept.push(executor.spawn(task));
         room.push(wake);
     }
@@ -191,6 +194,7 @@
         upstreams: HashMap::new(),
         watch: None,
         accept,
+        addresses,
         tap: features.tap.clone().map(|t| Rc::new(Tap::new(t, site.clone()))),
         features,
         reads: Rc::default(),
@@ -268,7 +272,10 @@
                 }
                 self.core.input(now, input);
             }
-            News::Accepted(socket, peer, port) => self.accepted(now, socket, Caller { client: peer }, port),
+            News::Accepted(socket, peer, port) => {
+                self.accepted(now, socket, Caller { client: peer, via: None }, port)
+            }
+            News::Fronted(caller) => info!("{caller} taken from a front"),
             News::Crowded => self.close_idle_downstream(0),
             News::Note(text) => {
                 self.notes += 1;
@@ -314,7 +321,11 @@
         let streams = multiget.map_or(downstream::STREAMS, |m| m.max_keys);
         let (orders, ordered) = async_channel::bounded(streams + 2);
         let progress = Rc::new(Progress::default());
-        let link = Link {
+        if self.addresses.as_ref().is_some_and(|a| a.trusts(caller.client)) {
+            progress.waits.set(Waits::Header);
+        }
+        let seen = (progress.waits.get(), 0);
+        let mut link = Link {
             id,
             socket,
             orders: ordered,
@@ -324,19 +335,21 @@
             input: Cell::default(),
         };
         let batches = multiget.map(|m| Batches::new(m, self.reads.clone()));
-        let task = match self.tap.clone().filter(|_| port == Port::Tap) {
-            Some(tap) => self.executor.spawn(tap::serve(link, tap)),
-            None => self.executor.spawn(downstream::serve(link, self.words.clone(), batches)),
-        };
-        let one = Downstream {
-            orders,
-            progress,
-            port,
-            seen: Default::default(),
-            moved: now,
-            finishing: false,
-            _task: task,
-        };
+        let (tap, words) = (self.tap.clone().filter(|_| port == Port::Tap), self.words.clone());
+        let (addresses, queue) = (self.addresses.clone(), self.queue.clone());
+        let task = self.executor.spawn(async move {
+            let known = match &addresses {
+                Some(addresses) => addresses.introduce(&mut link).await,
+                None => true,
+            };
+            match tap.filter(|_| known) {
+                Some(tap) => tap::serve(link, tap).await,
+                None if known => downstream::serve(link, words, batches).await,
+                None => {}
+            }
+            let _ = queue.send(News::Core(Input::DownstreamClosed(id))).await;
+        });
+        let one = Downstream { orders, progress, port, seen, moved: now, finishing: false, _task: task };
         self.downstreams.insert(id, one);
         if self.downstreams.len() >= self.most_downstreams {
             self.gate.set(true);
@@ -351,7 +364,7 @@
         let now = self.clock.now();
         let idle = self.downstreams.iter().filter(|(id, d)| {
             // A command that was read and waits in the queue of news is not in the core yet.
-            let idles = matches!(d.progress.waits.get(), Waits::Nothing | Waits::Command);
+            let idles = matches!(d.progress.waits.get(), Waits::Nothing | Waits::Command | Waits::Header);
             now - d.moved >= quiet && idles && !self.core.busy(**id) && !d.owed()
         });
         if let Some(id) = idle.min_by_key(|(_, d)| d.moved).map(|(id, _)| *id) {
@@ -414,7 +427,7 @@
         for (id, d) in &mut self.downstreams {
             let seen = (d.progress.waits.get(), d.progress.steps.get());
             let longest = match seen.0 {
-                Waits::Command => UNFINISHED,
+                Waits::Command | Waits::Header => UNFINISHED,
                 Waits::Peer => UNREAD,
                 Waits::Close => GOODBYE,
                 Waits::Nothing => IDLE,
@@ -437,6 +450,9 @@
             self.close_idle_downstream(SWEEP);
         }
         stuck.into_iter().for_each(|id| self.drop_downstream(id));
+        if let Some(line) = self.addresses.as_ref().and_then(|a| a.told(now, false)) {
+            warn!("{line}");
+        }
         if now - self.told_figures >= FIGURES {
             self.told_figures = now;
             self.figures();
@@ -490,6 +506,9 @@
         let end = longest.min(END_MOST) + END_MORE;
         let over = self.downstreams.is_empty() || (answered && now - told >= GOODBYE) || age >= end;
         if over {
+            if let Some(line) = self.addresses.as_ref().and_then(|a| a.told(now, true)) {
+                warn!("{line}");
+            }
             self.figures();
             info!("ended with {} streams open", self.core.open_streams());
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,13 +13,14 @@
 //! - `config POINTER WORD`: replaces the file, `hup`: SIGHUP, `log TEXT`: waits for a line of the log.
 //!
 //! `c1` is a client's first connection, `m1` one to the multi-get port, `a2` the second that node `a` accepted; `{a}`
-//! and `{m}` are addresses; `t1` is a watcher; `d` and `e` are discovery's.
+//! and `{m}` are addresses, `{conf}` is our own file; `t1` is a watcher, `f1` a front; `d` and `e` are discovery's.
 
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
 use std::fs::{read_to_string, write};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::mpsc::Receiver;
@@ -73,16 +74,36 @@
     panic!("{name} was not connected to");
 }
 
+fn connect(to: &str, from: u8) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let from: SocketAddr = format!("127.0.0.{from}:0").parse().expect("an address");
+    socket.bind(&from.into()).expect("a loopback address");
+    let to: SocketAddr = to.parse().expect("an address");
+    socket.connect(&to.into()).expect("the program accepts");
+    socket.into()
+}
+
 fn unescape(text: &str) -> Vec<u8> {
-    let text = text.replace("\\r", "\r").replace("\\n", "\n");
     // A run of a letter stands for itself: {x*70000}.
-    match text
-        .split_once("{x*")
-        .and_then(|(head, rest)| rest.split_once('}').map(|(n, tail)| (head, n, tail)))
-    {
-        Some((head, n, tail)) => [head, &"x".repeat(n.parse().expect("a count")), tail].concat().into_bytes(),
-        None => text.into_bytes(),
+    let run = text.split_once("{x*").and_then(|(head, rest)| Some((head, rest.split_once('}')?)));
+    let text = match run {
+        Some((head, (n, tail))) => [head, &"x".repeat(n.parse().expect("a count")), tail].concat(),
+        None => text.to_owned(),
+    };
+    // What stands behind a backslash: r, n or x with two digits.
+    let mut parts = text.split('\\');
+    let mut out = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (byte, taken) = match part.as_bytes()[0] {
+            b'r' => (b'\r', 1),
+            b'n' => (b'\n', 1),
+            b'x' => (u8::from_str_radix(&part[1..3], 16).expect("two digits"), 3),
+            _ => panic!("no such escape: {part}"),
+        };
+        out.push(byte);
+        out.extend_from_slice(&part.as_bytes()[taken..]);
     }
+    out
 }
 
 fn matches(pattern: &str, word: &str) -> bool {
@@ -163,7 +184,14 @@
                 Some(listener) => accept(listener, name),
                 None => {
                     let port = name.chars().next().filter(|c| self.listen.contains_key(c)).unwrap_or('c');
-                    TcpStream::connect(&self.listen[&port]).expect("the program accepts")
+                    // `f` and `g` are fronts, on other loopback addresses; `h` is one at the multi-get port.
+                    let (port, from) = match name.chars().next().unwrap_or('c') {
+                        'f' => ('c', 2),
+                        'g' => ('c', 3),
+                        'h' => ('m', 3),
+                        _ => (port, 1),
+                    };
+                    connect(&self.listen[&port], from)
                 }
             };
             socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -185,6 +213,8 @@
 
     fn step(&mut self, line: &str) {
         let addresses = self.listeners.iter().map(|(n, l)| (format!("{{{n}}}"), local(l)));
+        let conf = self.path.with_file_name("martenweir.conf").display().to_string();
+        let addresses = addresses.chain([("{conf}".to_owned(), conf)]);
         let addresses = addresses.chain(self.listen.iter().map(|(n, a)| (format!("{{{n}}}"), a.clone())));
         let line = addresses.fold(line.to_owned(), |line, (n, address)| line.replace(&n, &address));
         let (name, rest) = line.split_once(' ').unwrap_or((&line, ""));
@@ -311,6 +341,8 @@
 #[case::bad_value("\n\nmultigetport 70000", Some(":3: multigetport: a port is wanted, not \"70000\""))]
 #[case::no_value("multigetport", Some(":1: multigetport: a port is wanted"))]
 #[case::sign("multigetmaxkeys +2", Some(":1: multigetmaxkeys: a whole number from 1 to 256 is wanted"))]
+#[case::many("deny 10.0.0.0/8\nallow ::ffff:10.1.0.0/112\ndeny 10.0.0.0/8\nproxyfrom 2001:db8::1", None)]
+#[case::range("deny 10.0.0.0/33", Some(":1: deny: a range like 10.20.0.0/16 is wanted"))]
 #[case::fraction("tapsample 1.5", Some(":1: tapsample: a fraction above 0 and up to 1 is wanted"))]
 #[case::unit("tapport 1\ntapbuffer 9 KiB", Some(":2: tapbuffer: a size like 256 KB"))]
 #[case::twice("multigetport 1\nmultigetport 1", Some(":2: multigetport: set twice"))]
