--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -300,8 +300,9 @@
         self.told
     }
 
-    pub fn has_nodes(&self) -> bool {
-        self.pool.nodes.values().any(|n| n.phase == Phase::Ready)
+    /// Nodes that are listed as ready.
+    pub fn serving(&self) -> usize {
+        self.pool.nodes.values().filter(|n| n.phase == Phase::Ready).count()
     }
 
     pub fn open_streams(&self) -> usize {
--- /dev/null
+++ b/src/features/figures.rs
@@ -0,0 +1,501 @@
+//! figures: counters, gauges and timers for a collector, in batches. Counters are summed until they are flushed;
+//! every latency has a line. Whatever the target does, nobody waits for it.
+
+use crate::core::{Ended, Record};
+use crate::interface::{ClassId, Micros, TenantId};
+use crate::settings::Site;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use log::warn;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::fs::MetadataExt;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bytes of a batch, which is whole lines, and of all that is held: the oldest batches are dropped first.
+const BATCH: usize = 1400;
+const PENDING: usize = 64 * 1024;
+/// Lines of the log that may wait for standard error where it is shared with the figures.
+const LOG: usize = 512;
+/// How long a planned end waits for the last batches.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Format {
+    Statsd,
+    Influx,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    Stderr,
+    File(PathBuf),
+    Udp(SocketAddr),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub format: Format,
+    pub target: Target,
+    pub flush: Micros,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { format: Format::Statsd, target: Target::Stderr, flush: 10_000_000 }
+    }
+}
+
+/// What is open at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    pub downstreams: usize,
+    pub upstreams: usize,
+    /// Nodes that discovery lists as SERVING.
+    pub serving: usize,
+}
+
+#[derive(Clone, Copy)]
+enum Sort {
+    Counter,
+    Gauge,
+    Timer,
+}
+
+impl Format {
+    /// One line: `name` has dots, what the format cannot hold in a tag is escaped or becomes `_`.
+    fn line(self, name: &str, sort: Sort, tags: &[(&str, &str)], value: u64) -> String {
+        match self {
+            Format::Statsd => {
+                let tags: Vec<String> = tags.iter().map(|(k, v)| format!("{k}:{}", statsd(v))).collect();
+                let tags = if tags.is_empty() { String::new() } else { format!("|#{}", tags.join(",")) };
+                let sort = match sort {
+                    Sort::Counter => "c",
+                    Sort::Gauge => "g",
+                    Sort::Timer => "ms",
+                };
+                format!("martenweir.{name}:{value}|{sort}{tags}\n")
+            }
+            Format::Influx => {
+                let tags: String = tags.iter().map(|(k, v)| format!(",{k}={}", influx(v))).collect();
+                let field = match sort {
+                    Sort::Counter => "count",
+                    Sort::Gauge => "value",
+                    Sort::Timer => "ms",
+                };
+                format!("martenweir_{}{tags} {field}={value}\n", name.replace('.', "_"))
+            }
+        }
+    }
+}
+
+fn statsd(value: &str) -> String {
+    let bad = |c: char| c.is_control() || c.is_whitespace() || "|#,:@".contains(c);
+    value.chars().map(|c| if bad(c) { '_' } else { c }).collect()
+}
+
+fn influx(value: &str) -> String {
+    let mut out = String::new();
+    for c in value.chars() {
+        match c {
+            // Behind a backslash the end of a tag would be none.
+            '\\' => out.push('_'),
+            _ if c.is_control() => out.push('_'),
+            ',' | '=' | ' ' => out.extend(['\\', c]),
+            _ => out.push(c),
+        }
+    }
+    out
+}
+
+/// Whole lines, and how many lost batches are told in them.
+#[derive(Debug, Default)]
+struct Batch {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// What a counter counts: its name, class, tenant, and the last tag.
+type Counter = (&'static str, ClassId, TenantId, &'static str);
+
+#[derive(Debug, Default)]
+struct State {
+    counters: BTreeMap<Counter, u64>,
+    /// Flushed, but there was no room for their lines yet.
+    due: BTreeMap<Counter, u64>,
+    current: Batch,
+    ready: VecDeque<Batch>,
+    /// Bytes of the batch that is being written.
+    writing: usize,
+    /// Batches lost and not told.
+    dropped: u64,
+    closing: bool,
+}
+
+impl State {
+    fn held(&self) -> usize {
+        self.ready.iter().map(|b| b.bytes.len()).sum::<usize>() + self.current.bytes.len() + self.writing
+    }
+
+    /// Ends the current batch; the oldest make room.
+    fn close(&mut self) {
+        let batch = std::mem::take(&mut self.current);
+        if !batch.bytes.is_empty() {
+            self.ready.push_back(batch);
+        }
+        while self.held() + BATCH > PENDING {
+            let Some(oldest) = self.ready.pop_front() else { return };
+            self.dropped += 1 + oldest.dropped;
+        }
+    }
+
+    fn push(&mut self, line: &str) {
+        if line.len() > BATCH {
+            // No batch could hold it: names of that length are no tags.
+            self.dropped += 1;
+            return;
+        }
+        if self.current.bytes.len() + line.len() > BATCH {
+            self.close();
+        }
+        self.current.bytes.extend_from_slice(line.as_bytes());
+    }
+}
+
+/// The figures of one proxy.
+#[derive(Debug)]
+pub struct Figures {
+    settings: Settings,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    state: RefCell<State>,
+    /// The target is given up.
+    stopped: Cell<bool>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+impl Figures {
+    pub fn new(settings: Settings, site: &Site) -> Self {
+        Figures::named(settings, site.classes.clone(), site.tenants.clone())
+    }
+
+    fn named(settings: Settings, classes: Vec<String>, tenants: Vec<String>) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        let (state, stopped) = (RefCell::default(), Cell::new(false));
+        Figures { settings, classes, tenants, state, stopped, wake, woken }
+    }
+
+    pub fn flush_every(&self) -> Micros {
+        self.settings.flush
+    }
+
+    /// Records are wanted.
+    pub fn listens(&self) -> bool {
+        !self.stopped.get()
+    }
+
+    fn tags(&self, class: ClassId, tenant: TenantId) -> [(&'static str, &str); 2] {
+        let class = self.classes.get(usize::from(class.0)).map_or("-", String::as_str);
+        let tenant = self.tenants.get(tenant.0 as usize).map_or("-", String::as_str);
+        [("class", class), ("tenant", tenant)]
+    }
+
+    pub fn record(&self, record: &Record) {
+        if self.stopped.get() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let mut count =
+            |name, tag| *state.counters.entry((name, record.class, record.tenant, tag)).or_default() += 1;
+        count("requests", record.ended.name());
+        if let Some(read) = record.read() {
+            count("reads", read);
+        }
+        if record.ended == Ended::Served {
+            let tags = self.tags(record.class, record.tenant);
+            let ms = (record.time / 1000).max(0) as u64;
+            let full = state.ready.len();
+            state.push(&self.settings.format.line("latency", Sort::Timer, &tags, ms));
+            // A full batch goes out at once.
+            if state.ready.len() > full {
+                let _ = self.wake.try_send(());
+            }
+        }
+    }
+
+    /// Hands over all that was counted, and what is open now.
+    pub fn flush(&self, gauges: Gauges) {
+        if self.stopped.get() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let line = |name, sort, tags: &[_], value| self.settings.format.line(name, sort, tags, value);
+        let open = |side, n: usize| line("connections", Sort::Gauge, &[("side", side)], n as u64);
+        state.push(&open("downstream", gauges.downstreams));
+        state.push(&open("upstream", gauges.upstreams));
+        state.push(&line("nodes.serving", Sort::Gauge, &[], gauges.serving as u64));
+        if state.dropped > 0 {
+            let dropped = std::mem::take(&mut state.dropped);
+            state.push(&line("figures.dropped", Sort::Counter, &[], dropped));
+            state.current.dropped += dropped;
+        }
+        for (counter, n) in std::mem::take(&mut state.counters) {
+            *state.due.entry(counter).or_default() += n;
+        }
+        self.fill(&mut state);
+        state.close();
+        let _ = self.wake.try_send(());
+    }
+
+    /// Turns what is due into lines, as far as there is room: what is not told yet stays summed.
+    fn fill(&self, state: &mut State) {
+        let full = state.due.is_empty();
+        while state.held() + 3 * BATCH < PENDING {
+            let Some(((name, class, tenant, tag), n)) = state.due.pop_first() else { break };
+            let [class, tenant] = self.tags(class, tenant);
+            let last = if name == "reads" { ("result", tag) } else { ("outcome", tag) };
+            state.push(&self.settings.format.line(name, Sort::Counter, &[class, tenant, last], n));
+        }
+        if !full {
+            state.close();
+        }
+    }
+
+    fn take(&self) -> Option<Batch> {
+        let mut state = self.state.borrow_mut();
+        let batch = state.ready.pop_front()?;
+        state.writing = batch.bytes.len();
+        Some(batch)
+    }
+
+    /// A batch is off, `lost` of them are gone.
+    fn done(&self, lost: u64) {
+        let mut state = self.state.borrow_mut();
+        state.writing = 0;
+        state.dropped += lost;
+        self.fill(&mut state);
+    }
+
+    /// A planned end: flushes once and gives the writer a moment.
+    pub async fn end(&self, gauges: Gauges, writer: impl std::future::Future<Output = ()>) {
+        self.flush(gauges);
+        self.state.borrow_mut().closing = true;
+        let _ = self.wake.try_send(());
+        let late = async {
+            Timer::after(FAREWELL).await;
+        };
+        future::or(writer, late).await;
+    }
+
+    /// Writes batches, and the log where it shares standard error with them, until the end is told.
+    pub async fn write(self: Rc<Self>, log: Option<Receiver<Vec<u8>>>) {
+        let mut sink = Sink::new(self.settings.target.clone());
+        loop {
+            let mut lines = Vec::new();
+            while let Some(line) = log.as_ref().and_then(|log| log.try_recv().ok()) {
+                lines.extend(line);
+            }
+            if !lines.is_empty() {
+                sink.stderr(lines).await;
+            } else if let Some(batch) = self.take() {
+                let lost = sink.put(batch).await;
+                self.stopped.set(sink.stopped);
+                self.done(lost);
+            } else if self.state.borrow().closing {
+                return;
+            } else {
+                // Only waits: a write given up here would be a line lost.
+                let logged = async {
+                    match log.as_ref().map(|log| log.recv()) {
+                        Some(line) => line.await.ok(),
+                        None => future::pending().await,
+                    }
+                };
+                let woken = async {
+                    let _ = self.woken.recv().await;
+                    None
+                };
+                if let Some(line) = future::or(logged, woken).await {
+                    sink.stderr(line).await;
+                }
+            }
+        }
+    }
+}
+
+/// The target. What may block is done on another thread, one piece at a time: lines never tear each other.
+struct Sink {
+    target: Target,
+    file: Option<File>,
+    udp: Option<UdpSocket>,
+    /// Lost batches told in the datagram sent last: a refusal comes with the next one.
+    last: u64,
+    stopped: bool,
+}
+
+impl Sink {
+    fn new(target: Target) -> Self {
+        Sink { target, file: None, udp: None, last: 0, stopped: false }
+    }
+
+    /// Standard error may be closed, and may block for ever.
+    async fn stderr(&self, bytes: Vec<u8>) {
+        blocking::unblock(move || {
+            let _ = io::stderr().lock().write_all(&bytes);
+        })
+        .await;
+    }
+
+    /// Writes a batch; comes back with how many are lost.
+    async fn put(&mut self, batch: Batch) -> u64 {
+        match self.target.clone() {
+            Target::Stderr => {
+                self.stderr(batch.bytes).await;
+                0
+            }
+            Target::Udp(address) => self.send(address, &batch),
+            Target::File(path) => {
+                let (file, shown, lost) = (self.file.take(), path.display().to_string(), 1 + batch.dropped);
+                match blocking::unblock(move || append(file, path, &batch.bytes)).await {
+                    Ok(file) => {
+                        self.file = Some(file);
+                        0
+                    }
+                    Err(why) => {
+                        if !std::mem::replace(&mut self.stopped, true) {
+                            warn!("figures: {shown}: {why}; no more are written");
+                        }
+                        lost
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, address: SocketAddr, batch: &Batch) -> u64 {
+        let mut lost = 0;
+        if let Some(refused) = self.refused() {
+            lost = refused;
+        }
+        if self.udp.is_none() {
+            self.udp = connect(address).ok();
+        }
+        match self.udp.as_ref().map(|udp| udp.send(&batch.bytes)) {
+            Some(Ok(_)) => {
+                self.last = batch.dropped;
+                lost
+            }
+            _ => {
+                self.last = 0;
+                lost + 1 + batch.dropped
+            }
+        }
+    }
+
+    /// Whether the datagram sent last was refused: what was lost with it.
+    fn refused(&mut self) -> Option<u64> {
+        let refused = self.udp.as_ref()?.take_error().ok()?.is_some();
+        refused.then(|| 1 + std::mem::take(&mut self.last))
+    }
+}
+
+fn connect(address: SocketAddr) -> io::Result<UdpSocket> {
+    let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let udp = UdpSocket::bind(any)?;
+    udp.set_nonblocking(true)?;
+    udp.connect(address)?;
+    Ok(udp)
+}
+
+/// Appends whole lines. A file that is full or was removed is an error, and no half of a line stays in it.
+fn append(file: Option<File>, path: PathBuf, bytes: &[u8]) -> io::Result<File> {
+    let mut file = match file {
+        Some(file) => file,
+        None => OpenOptions::new().append(true).create(true).open(path)?,
+    };
+    let about = file.metadata()?;
+    if about.nlink() == 0 {
+        return Err(io::Error::new(io::ErrorKind::NotFound, "the file was removed"));
+    }
+    if let Err(e) = file.write_all(bytes) {
+        let _ = file.set_len(about.len());
+        return Err(e);
+    }
+    Ok(file)
+}
+
+/// Where the log goes while it shares standard error with the figures: to their writer, and never waits for it.
+pub struct Shared(Sender<Vec<u8>>);
+
+impl Shared {
+    pub fn new() -> (Shared, Receiver<Vec<u8>>) {
+        let (to, from) = async_channel::bounded(LOG);
+        (Shared(to), from)
+    }
+}
+
+impl Write for Shared {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        // A blocked standard error loses lines; the proxy goes on.
+        let _ = self.0.try_send(line.to_vec());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+// ---- the subcommand
+
+/// A collector's refusal has come by then; a target that takes longer than the other is given up.
+const REFUSAL: Duration = Duration::from_millis(100);
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// `martenweir figurestest [FILE]`: sends one of each figure, as the file says or in statsd to standard error.
+pub fn command(arguments: &[String]) -> Result<(), String> {
+    let settings = match arguments {
+        [] => Settings::default(),
+        [file] => super::file::load(file)?.figures.ok_or(format!("figurestest: {file}: figures are off"))?,
+        _ => return Err("figurestest [FILE]".into()),
+    };
+    let mut sink = Sink::new(settings.target.clone());
+    let classes = ["lookup", "instruct"].map(String::from).to_vec();
+    let figures = Figures::named(settings, classes, vec!["figurestest".into()]);
+    let ends = [Ended::Served, Ended::Refused, Ended::Failed, Ended::Left];
+    for (class, ended, note) in ends.into_iter().enumerate().map(|(i, e)| (i as u16 % 2, e, 1 + i as u32 % 3))
+    {
+        let note = if class == 0 { note } else { 0 };
+        let (tenant, message, node) = (TenantId(0), Rc::default(), None);
+        let time = 14_000;
+        figures.record(&Record { class: ClassId(class), tenant, message, node, note, ended, time, at: 0 });
+    }
+    figures.flush(Gauges::default());
+    let all = async {
+        let mut lost = 0;
+        while let Some(batch) = figures.take() {
+            lost += sink.put(batch).await;
+            figures.done(0);
+        }
+        if sink.udp.is_some() {
+            Timer::after(REFUSAL).await;
+        }
+        Some(lost + sink.refused().unwrap_or(0))
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        None
+    };
+    match async_io::block_on(future::or(all, late)) {
+        Some(0) => Ok(()),
+        Some(lost) => Err(format!("figurestest: {lost} batches lost")),
+        None => Err("figurestest: the target does not take them".into()),
+    }
+}
--- a/src/features/file.rs
+++ b/src/features/file.rs
@@ -1,6 +1,7 @@
 //! Our own file: `name value` a line, `#` before a comment. It is read once, at the start.
 
-use super::{addresses, multiget, tap};
+use super::{addresses, figures, multiget, tap};
+use crate::interface::Micros;
 use std::ops::RangeInclusive;
 
 /// The longest file that makes sense.
@@ -12,6 +13,7 @@
     pub multiget: Option<multiget::Settings>,
     pub tap: Option<tap::Settings>,
     pub addresses: Option<addresses::Lists>,
+    pub figures: Option<figures::Settings>,
 }
 
 /// Reads the file; an error is one line that names the file and the line in it.
@@ -29,6 +31,7 @@
     let mut multiget = multiget::Settings::default();
     let mut tap = tap::Settings::default();
     let mut lists = addresses::Lists::default();
+    let mut figures = figures::Settings::default();
     let (mut multigetport, mut tapport) = (None, None);
     let mut seen: Vec<&str> = Vec::new();
     for (i, line) in text.lines().enumerate() {
@@ -52,6 +55,9 @@
                 "allow" => lists.allow.push(network(value)?),
                 "deny" => lists.deny.push(network(value)?),
                 "proxyfrom" => lists.proxyfrom.push(network(value)?),
+                "figuresformat" => figures.format = format(value)?,
+                "figurestarget" => figures.target = target(value)?,
+                "figuresflush" => figures.flush = time(value, 1_000..=3_600_000)?,
                 _ => return Err("unknown setting".to_owned()),
             }
             Ok(())
@@ -63,9 +69,11 @@
         }
         seen.push(name);
     }
+    let counted = seen.iter().any(|name| name.starts_with("figures"));
     Ok(Features {
         multiget: multigetport.map(|port| multiget::Settings { port, ..multiget }),
         tap: tapport.map(|port| tap::Settings { port, ..tap }),
+        figures: Some(figures).filter(|_| counted),
         addresses: Some(lists).filter(|lists| *lists != addresses::Lists::default()),
     })
 }
@@ -84,6 +92,31 @@
     digits(value).filter(|n| range.contains(n)).map_or_else(|| wanted(value, &what()), Ok)
 }
 
+fn format(value: &str) -> Result<figures::Format, String> {
+    match value {
+        "statsd" => Ok(figures::Format::Statsd),
+        "influx" => Ok(figures::Format::Influx),
+        _ => wanted(value, "statsd or influx"),
+    }
+}
+
+fn target(value: &str) -> Result<figures::Target, String> {
+    let (sort, of) = value.split_once(char::is_whitespace).unwrap_or((value, ""));
+    match (sort, of.trim(), of.trim().parse()) {
+        ("stderr", "", _) => Ok(figures::Target::Stderr),
+        ("file", path, _) if !path.is_empty() => Ok(figures::Target::File(path.into())),
+        ("udp", _, Ok(address)) => Ok(figures::Target::Udp(address)),
+        _ => wanted(value, "stderr, file PATH or udp ADDRESS"),
+    }
+}
+
+fn time(value: &str, range: RangeInclusive<usize>) -> Result<Micros, String> {
+    let units = [("ms", 1), ("s", 1000), ("min", 60_000)];
+    let what = || format!("a time like 10 s, from {} to {} ms", range.start(), range.end());
+    let ms = measure(value, &units).filter(|n| range.contains(n));
+    ms.map_or_else(|| wanted(value, &what()), |ms| Ok(ms as Micros * 1000))
+}
+
 fn network(value: &str) -> Result<ipnet::IpNet, String> {
     addresses::network(value).map_or_else(|| wanted(value, "a range like 10.20.0.0/16"), Ok)
 }
--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -2,6 +2,7 @@
 //! file; decisions stay in the module whatever is on.
 
 pub mod addresses;
+pub mod figures;
 pub mod file;
 pub mod multiget;
 pub mod tap;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -10,6 +10,7 @@
 use log::{info, warn};
 use martenweir::core::{ConnectionId, Core, DownstreamId, Effect, Input, Job};
 use martenweir::features::addresses::Addresses;
+use martenweir::features::figures::{Figures, Gauges};
 use martenweir::features::file::Features;
 use martenweir::features::multiget::Batches;
 use martenweir::features::tap::{self, Tap};
@@ -119,6 +120,8 @@
     /// Reads that multi-gets have open, all downstreams together.
     reads: Rc<Cell<usize>>,
     tap: Option<Rc<Tap>>,
+    figures: Option<Rc<Figures>>,
+    flushed: Micros,
     addresses: Option<Rc<Addresses>>,
     downstreams: HashMap<DownstreamId, Downstream>,
     upstreams: HashMap<ConnectionId, Upstream>,
@@ -153,6 +156,7 @@
     config: Config,
     path: String,
     features: Features,
+    log: Option<Receiver<Vec<u8>>>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let (listener, address) = bind(config.listen)?;
@@ -184,6 +188,8 @@
     let now = clock.now();
     let upstream_sockets = (config.sockets - RESERVE) * 2 / 5;
     let site = Rc::new(config.site);
+    let figures = features.figures.clone().map(|settings| Rc::new(Figures::new(settings, &site)));
+    let writer = figures.clone().map(|figures| executor.spawn(figures.write(log)));
     let mut owner = Owner {
         core: Core::new(now, site.settings.clone(), config.seed, upstream_sockets, config.known),
         words: Rc::new(Vocabulary { site: site.clone(), ready: false.into() }),
@@ -195,6 +201,8 @@
         watch: None,
         accept,
         addresses,
+        figures: figures.clone(),
+        flushed: now,
         tap: features.tap.clone().map(|t| Rc::new(Tap::new(t, site.clone()))),
         features,
         reads: Rc::default(),
@@ -221,6 +229,9 @@
         }
     });
     owner.work(&news).await;
+    if let Some((figures, writer)) = figures.zip(writer) {
+        figures.end(owner.gauges(), writer).await;
+    }
     Ok(())
 }
 
@@ -230,7 +241,8 @@
         loop {
             // All that has happened comes before the timers: an answer that is here is no time-out.
             let now = self.clock.now();
-            self.core.observed = self.tap.as_ref().is_some_and(|t| t.watched());
+            let listens = self.figures.as_ref().is_some_and(|f| f.listens());
+            self.core.observed = listens || self.tap.as_ref().is_some_and(|t| t.watched());
             for _ in 0..AT_ONCE {
                 let Ok(one) = news.try_recv() else { break };
                 self.hear(now, one);
@@ -409,6 +421,9 @@
                     if let Some(tap) = &self.tap {
                         tap.offer(&record);
                     }
+                    if let Some(figures) = &self.figures {
+                        figures.record(&record);
+                    }
                 }
             }
         }
@@ -418,7 +433,7 @@
         self.swept = now;
         // Who waits for a descriptor tries again now and then, whoever gave one back.
         self.wake_accept();
-        let waited = now - self.started >= PATIENCE && self.core.has_nodes();
+        let waited = now - self.started >= PATIENCE && self.core.serving() > 0;
         if !self.words.ready.get() && (self.core.told() || waited) {
             self.words.ready.set(true);
             info!("ready");
@@ -453,6 +468,10 @@
         if let Some(line) = self.addresses.as_ref().and_then(|a| a.told(now, false)) {
             warn!("{line}");
         }
+        if let Some(figures) = self.figures.as_ref().filter(|f| now - self.flushed >= f.flush_every()) {
+            self.flushed = now;
+            figures.flush(self.gauges());
+        }
         if now - self.told_figures >= FIGURES {
             self.told_figures = now;
             self.figures();
@@ -463,6 +482,11 @@
         }
     }
 
+    fn gauges(&self) -> Gauges {
+        let (downstreams, upstreams) = (self.downstreams.len(), self.core.open_connections());
+        Gauges { downstreams, upstreams, serving: self.core.serving() }
+    }
+
     fn figures(&self) {
         let (c, core) = (self.core.counters, &self.core);
         info!(
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -9,7 +9,10 @@
 //!   line, `NAME ends CODE` its end.
 //! - `NAME hears TEXT`: expects a line like this; `NAME tells TEXT`: reads to the end, whole lines of a watcher's
 //!   fields and this one last.
-//! - `repeat N STEP`: the step N times, `{i}` being 0, 1, 2 ...
+//! - `NAME holds TEXT`: expects it in a file of the folder `{dir}`; `fifo NAME`, `remove NAME`: makes one, removes
+//!   one. `deaf`: nobody reads the log any more. `pause MS`: lets time pass.
+//! - `udp hears TEXT`: waits for a datagram with it at `{u}`; `udp shut`, `udp open`: nobody is there, somebody is.
+//! - `repeat N STEP && STEP`: the steps N times, `{i}` being 0, 1, 2 ...
 //! - `config POINTER WORD`: replaces the file, `hup`: SIGHUP, `log TEXT`: waits for a line of the log.
 //!
 //! `c1` is a client's first connection, `m1` one to the multi-get port, `a2` the second that node `a` accepted; `{a}`
@@ -20,7 +23,7 @@
 use std::collections::BTreeMap;
 use std::fs::{read_to_string, write};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::mpsc::Receiver;
@@ -39,6 +42,8 @@
     path: PathBuf,
     log: Receiver<String>,
     commands: BTreeMap<String, (Child, BufReader<ChildStdout>)>,
+    collector: Option<UdpSocket>,
+    collects: SocketAddr,
 }
 
 impl Drop for Play {
@@ -127,13 +132,21 @@
         config["discovery"] = local(&listeners["d"]).into();
         config["known"]["members"] = serde_json::from_str(&format!("[{list}]")).expect("members");
         for (pointer, value) in line("set ").filter_map(|l| l.split_once(' ')) {
-            *config.pointer_mut(pointer).expect("a setting") = serde_json::from_str(value).expect("JSON");
+            let value = serde_json::from_slice(&unescape(value)).expect("JSON");
+            *config.pointer_mut(pointer).expect("a setting") = value;
         }
         let path = dir.join("config.json");
         write(&path, config.to_string()).expect("a file");
         let mut program = Command::new(env!("CARGO_BIN_EXE_martenweir"));
         let conf = dir.join("martenweir.conf");
-        write(&conf, line("feature ").collect::<Vec<_>>().join("\n")).expect("a file");
+        let collector = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        collector.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let collects = collector.local_addr().expect("an address");
+        for name in line("fifo ") {
+            assert!(Command::new("mkfifo").arg(dir.join(name)).status().expect("mkfifo").success());
+        }
+        let lines = line("feature ").collect::<Vec<_>>().join("\n").replace("{u}", &collects.to_string());
+        write(&conf, lines.replace("{dir}", &dir.display().to_string())).expect("a file");
         let program = program.arg("--conf").arg(&conf).arg(&path);
         let mut program = program.stderr(Stdio::piped()).spawn().expect("the program starts");
         let mut log = BufReader::new(program.stderr.take().expect("its log"));
@@ -150,10 +163,21 @@
             }
         }
         let (said, heard) = std::sync::mpsc::channel();
-        std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(said.send(l))));
+        std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|l| said.send(l)));
         let connections = BTreeMap::new();
         let commands = BTreeMap::new();
-        let mut play = Play { program, listen, listeners, connections, config, path, log: heard, commands };
+        let mut play = Play {
+            program,
+            listen,
+            listeners,
+            connections,
+            config,
+            path,
+            log: heard,
+            commands,
+            collector: Some(collector),
+            collects,
+        };
         let head = format!(
             "GET /registry/instances?watch=1&after=1 HTTP/1.1\\r\\nHost: {}\\r\\n\\r\\n",
             local(&play.listeners["d"])
@@ -220,7 +244,7 @@
         let (name, rest) = line.split_once(' ').unwrap_or((&line, ""));
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         match (name, verb) {
-            ("" | "#" | "nodes" | "set" | "feature", _) => {}
+            ("" | "#" | "nodes" | "set" | "feature" | "fifo", _) => {}
             ("term" | "hup", _) => {
                 let signal = format!("-{}", name.to_uppercase());
                 let kill = Command::new("kill").args([&signal, &self.program.id().to_string()]).status();
@@ -238,8 +262,40 @@
             }
             ("repeat", times) => {
                 for i in 0..times.parse().expect("a count") {
-                    self.step(&text.replace("{i}", &i.to_string()));
+                    text.split(" && ").for_each(|step| self.step(&step.replace("{i}", &i.to_string())));
+                }
+            }
+            ("remove", file) => std::fs::remove_file(self.path.with_file_name(file)).expect("a file"),
+            ("deaf", _) => self.log = std::sync::mpsc::channel().1,
+            ("pause", ms) => std::thread::sleep(Duration::from_millis(ms.parse().expect("a time"))),
+            ("udp", "shut") => self.collector = None,
+            ("udp", "open") => {
+                let collector = UdpSocket::bind(self.collects).expect("the port from before");
+                collector.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                self.collector = Some(collector);
+            }
+            ("udp", _) => loop {
+                let mut bytes = [0; 65536];
+                let n = self.collector.as_ref().expect("open").recv(&mut bytes).expect("a datagram");
+                let datagram = String::from_utf8_lossy(&bytes[..n]);
+                assert!(n <= 1400 && datagram.ends_with('\n'), "{datagram:?}");
+                if datagram.contains(text) {
+                    break;
                 }
+            },
+            (_, "holds") => {
+                let path = self.path.with_file_name(name);
+                let (said, heard) = std::sync::mpsc::channel();
+                std::thread::spawn(move || loop {
+                    // Again and again: the file grows.
+                    let file = std::fs::File::open(&path).map(BufReader::new);
+                    let lines = file.into_iter().flat_map(BufRead::lines).map_while(Result::ok);
+                    if lines.into_iter().try_for_each(|l| said.send(l)).is_err() {
+                        return;
+                    }
+                    std::thread::sleep(Duration::from_millis(20));
+                });
+                while !heard.recv_timeout(PATIENCE).expect("a line of the file").contains(text) {}
             }
             (_, "hears") => {
                 let line = self.until(name, b"\n");
@@ -253,8 +309,10 @@
                 assert!(before.lines().all(|l| l.split(' ').count() == 8), "{name}: {before}");
             }
             (_, "run") => {
-                let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
-                let child = command.args(text.split(' ')).stdout(Stdio::piped()).stderr(Stdio::null());
+                let mut command = Command::new("sh");
+                let command =
+                    command.args(["-c", "exec \"$@\" 2>&1", "sh", env!("CARGO_BIN_EXE_martenweir")]);
+                let child = command.args(text.split(' ')).stdout(Stdio::piped());
                 let mut child = child.spawn().expect("a subcommand");
                 let said = BufReader::new(child.stdout.take().expect("what it says"));
                 self.commands.insert(name.to_owned(), (child, said));
@@ -263,7 +321,8 @@
                 let mut said = String::new();
                 let (_, from) = self.commands.get_mut(name).expect("a subcommand");
                 from.read_line(&mut said).expect("a line");
-                assert!(matches(text, said.trim_end()), "{name}: expected {text:?}, got {said:?}");
+                let said = said.trim_end();
+                assert!(text == said || matches(text, said), "{name}: expected {text:?}, got {said:?}");
             }
             (_, "ends") => {
                 let (mut child, _) = self.commands.remove(name).expect("a subcommand");
@@ -343,6 +402,12 @@
 #[case::sign("multigetmaxkeys +2", Some(":1: multigetmaxkeys: a whole number from 1 to 256 is wanted"))]
 #[case::many("deny 10.0.0.0/8\nallow ::ffff:10.1.0.0/112\ndeny 10.0.0.0/8\nproxyfrom 2001:db8::1", None)]
 #[case::range("deny 10.0.0.0/33", Some(":1: deny: a range like 10.20.0.0/16 is wanted"))]
+#[case::target(
+    "figurestarget udp localhost:8125",
+    Some(":1: figurestarget: stderr, file PATH or udp ADDRESS")
+)]
+#[case::figures("figuresflush 2 min\nfigurestarget file /var/log/a b\nfiguresformat influx", None)]
+#[case::time("figuresflush 10 h", Some(":1: figuresflush: a time like 10 s"))]
 #[case::fraction("tapsample 1.5", Some(":1: tapsample: a fraction above 0 and up to 1 is wanted"))]
 #[case::unit("tapport 1\ntapbuffer 9 KiB", Some(":2: tapbuffer: a size like 256 KB"))]
 #[case::twice("multigetport 1\nmultigetport 1", Some(":2: multigetport: set twice"))]
