Tell a watcher without a filter why it is closed, also with address lists on

Seen on reading: with address lists on, a socket that says nothing is still being introduced when it is told to finish, and was closed without the line that it is owed; other ports were closed there instead of by their protocol. Change: it goes on to its protocol, told that it ends. tap_absent fails without that.

--- a/src/features/addresses.rs
+++ b/src/features/addresses.rs
@@ -139,7 +139,11 @@
             match future::or(order, async { Some(read(&link.socket, &mut input).await) }).await {
                 Some(Ok(1..)) => {}
                 Some(_) => return false,
-                // A planned end, and nothing was asked here.
+                // Told to finish. Without a header nothing may be said; others are told as ever.
+                None if !trusted => {
+                    link.ending = true;
+                    break;
+                }
                 None => {
                     link.progress.waits.set(Waits::Close);
                     farewell(&link.socket).await;
--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -221,10 +221,10 @@
         if record.ended == Ended::Served {
             let tags = self.tags(record.class, record.tenant);
             let ms = (record.time / 1000).max(0) as u64;
-            let full = state.ready.len();
+            let ready = state.ready.len();
             state.push(&self.settings.format.line("latency", Sort::Timer, &tags, ms));
             // A full batch goes out at once.
-            if state.ready.len() > full {
+            if state.ready.len() > ready {
                 let _ = self.wake.try_send(());
             }
         }
@@ -256,14 +256,14 @@
 
     /// Turns what is due into lines, as far as there is room: what is not told yet stays summed.
     fn fill(&self, state: &mut State) {
-        let full = state.due.is_empty();
+        let nothing = state.due.is_empty();
         while state.held() + 3 * BATCH < PENDING {
             let Some(((name, class, tenant, tag), n)) = state.due.pop_first() else { break };
             let [class, tenant] = self.tags(class, tenant);
             let last = if name == "reads" { ("result", tag) } else { ("outcome", tag) };
             state.push(&self.settings.format.line(name, Sort::Counter, &[class, tenant, last], n));
         }
-        if !full {
+        if !nothing {
             state.close();
         }
     }
@@ -380,10 +380,7 @@
     }
 
     fn send(&mut self, address: SocketAddr, batch: &Batch) -> u64 {
-        let mut lost = 0;
-        if let Some(refused) = self.refused() {
-            lost = refused;
-        }
+        let lost = self.refused().unwrap_or(0);
         if self.udp.is_none() {
             self.udp = connect(address).ok();
         }
--- a/src/features/tap.rs
+++ b/src/features/tap.rs
@@ -18,6 +18,7 @@
 const FILTER: usize = 256;
 const WRITE: usize = 16 * 1024;
 const CUT: &[u8] = b"# cut slow\n";
+const NONE: &str = "no filter came";
 const REFUSED: &str = "# refused: ";
 
 #[derive(Clone, Debug, PartialEq)]
@@ -262,6 +263,9 @@
 async fn filter(link: &Link, site: &Site) -> Result<Filter, String> {
     let mut input = link.input.take();
     loop {
+        if link.ending {
+            return Err(NONE.into());
+        }
         let line = input.iter().position(|b| *b == b'\n');
         if line.unwrap_or(input.len()) > FILTER {
             return Err(format!("the filter is longer than {FILTER} bytes"));
@@ -275,7 +279,7 @@
         };
         match future::or(order, read(&link.socket, &mut input)).await {
             Ok(1..) => {}
-            _ => return Err("no filter came".into()),
+            _ => return Err(NONE.into()),
         }
     }
 }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -213,6 +213,8 @@
     pub caller: Caller,
     /// What it has sent so far.
     pub input: Cell<Vec<u8>>,
+    /// It was told to finish before it said anything.
+    pub ending: bool,
 }
 
 struct Downstream {
@@ -237,6 +239,7 @@
     let _ = link.socket.get_ref().set_nodelay(true);
     let (input, output, answers) = (link.input.take(), Vec::new(), VecDeque::new());
     let mut d = Downstream {
+        ending: link.ending,
         link,
         words,
         batches,
@@ -246,7 +249,6 @@
         written: 0,
         answers,
         first: 0,
-        ending: false,
     };
     d.run().await;
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -345,6 +345,7 @@
             progress: progress.clone(),
             caller,
             input: Cell::default(),
+            ending: false,
         };
         let batches = multiget.map(|m| Batches::new(m, self.reads.clone()));
         let (tap, words) = (self.tap.clone().filter(|_| port == Port::Tap), self.words.clone());
