Test multi-get with nodes stopped in turn, and a caller mapped into IPv6 on a socket

Seen: with one of two nodes stopped a multi-get is COMPLETE from the other, with both stopped it is PARTIAL 0/2 at once. Also: usage lines of the subcommands say so; a closed standard output does not make checkaddr panic.

--- a/src/features/addresses.rs
+++ b/src/features/addresses.rs
@@ -7,6 +7,7 @@
 use futures_lite::future;
 use ipnet::{IpNet, Ipv4Net};
 use std::cell::{Cell, RefCell};
+use std::io::{self, Write};
 use std::net::{IpAddr, SocketAddr};
 
 /// Refused connections are told once in this time at the most.
@@ -158,10 +159,10 @@
 
 /// `martenweir checkaddr FILE ADDRESS`: whether the file's lists let a caller in.
 pub fn command(arguments: &[String]) -> Result<(), String> {
-    let [file, address] = arguments else { return Err("checkaddr FILE ADDRESS".into()) };
+    let [file, address] = arguments else { return Err("usage: martenweir checkaddr FILE ADDRESS".into()) };
     let features = super::file::load(file)?;
     let ip: IpAddr = address.parse().map_err(|_| format!("checkaddr: not an address: {address}"))?;
     let admitted = features.addresses.unwrap_or_default().admits(ip);
-    println!("{}", if admitted { "allow" } else { "deny" });
-    Ok(())
+    let said = writeln!(io::stdout(), "{}", if admitted { "allow" } else { "deny" });
+    said.map_err(|e| format!("checkaddr: {e}"))
 }
--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -461,7 +461,7 @@
     let settings = match arguments {
         [] => Settings::default(),
         [file] => super::file::load(file)?.figures.ok_or(format!("figurestest: {file}: figures are off"))?,
-        _ => return Err("figurestest [FILE]".into()),
+        _ => return Err("usage: martenweir figurestest [FILE]".into()),
     };
     let mut sink = Sink::new(settings.target.clone());
     let classes = ["lookup", "instruct"].map(String::from).to_vec();
--- a/src/features/multiget.rs
+++ b/src/features/multiget.rs
@@ -189,7 +189,7 @@
 /// of the answer. It fails where the answer is not COMPLETE.
 pub fn command(arguments: &[String]) -> Result<(), String> {
     let Some((address, reads)) = arguments.split_first().filter(|(_, r)| !r.is_empty()) else {
-        return Err("mget ADDRESS CACHE.GET KEY ID PROPERTIES [CACHE.GET ...]".into());
+        return Err("usage: martenweir mget ADDRESS CACHE.GET KEY ID PROPERTIES [CACHE.GET ...]".into());
     };
     // A read goes up to the next verb.
     let mut commands: Vec<Vec<&[u8]>> = Vec::new();
--- a/src/features/tap.rs
+++ b/src/features/tap.rs
@@ -325,7 +325,7 @@
 /// `martenweir tap ADDRESS class=NAME tenant=NAME`: sends the filter and prints the lines until the proxy closes.
 pub fn command(arguments: &[String]) -> Result<(), String> {
     let Some((address, filter)) = arguments.split_first() else {
-        return Err("tap ADDRESS [class=NAME] [tenant=NAME]".into());
+        return Err("usage: martenweir tap ADDRESS [class=NAME] [tenant=NAME]".into());
     };
     let failed = |e: io::Error| format!("tap: {address}: {e}");
     let mut socket = TcpStream::connect(address).map_err(failed)?;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,6 +13,7 @@
 //!   one. `deaf`: nobody reads the log any more. `pause MS`: lets time pass.
 //! - `udp hears TEXT`: waits for a datagram with it at `{u}`; `udp shut`, `udp open`: nobody is there, somebody is.
 //! - `repeat N STEP && STEP`: the steps N times, `{i}` being 0, 1, 2 ...
+//! - `NAME gone`: a node is stopped.
 //! - `config POINTER WORD`: replaces the file, `hup`: SIGHUP, `log TEXT`: waits for a line of the log.
 //!
 //! `c1` is a client's first connection, `m1` one to the multi-get port, `a2` the second that node `a` accepted; `{a}`
@@ -154,7 +155,8 @@
             let mut told = String::new();
             log.read_line(&mut told).expect("a line");
             let address = told.split("listening on ").nth(1).and_then(|t| t.trim().split(',').next());
-            address.expect("its address").to_owned()
+            // Listening on all addresses, it is reached as the others are.
+            address.expect("its address").replace("[::]", "127.0.0.1")
         };
         let mut listen = BTreeMap::from([('c', address())]);
         for (setting, name) in [("multigetport", 'm'), ("tapport", 't')] {
@@ -268,6 +270,10 @@
             ("remove", file) => std::fs::remove_file(self.path.with_file_name(file)).expect("a file"),
             ("deaf", _) => self.log = std::sync::mpsc::channel().1,
             ("pause", ms) => std::thread::sleep(Duration::from_millis(ms.parse().expect("a time"))),
+            (_, "gone") => {
+                self.listeners.remove(name);
+                self.connections.retain(|n, _| n.trim_end_matches(|c: char| c.is_ascii_digit()) != name);
+            }
             ("udp", "shut") => self.collector = None,
             ("udp", "open") => {
                 let collector = UdpSocket::bind(self.collects).expect("the port from before");
