--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -432,6 +432,14 @@
     let _ = std::fs::remove_dir_all(&dir);
 }
 
+/// The files that the repository ships can be used.
+#[rstest]
+fn shipped_file(#[values("deploy/martenweir.conf", "examples/martenweir.conf")] conf: &str) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
+    let end = command.args(["--check", "--conf", conf, "examples/config.json"]).output().expect("it runs");
+    assert!(end.status.success(), "{}", String::from_utf8_lossy(&end.stderr));
+}
+
 /// A configuration that cannot be used is told in one line, and the program does not run.
 #[rstest]
 #[case::missing(None, "No such file")]
