--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -4,6 +4,7 @@
 //! - `nodes a b o`: what is listed, `o` being the origin; `set POINTER JSON`: another configuration.
 //! - `NAME >> WORDS`: sends a command, or a chunk of discovery's; `NAME > TEXT`: sends bytes as they are.
 //! - `NAME << WORDS`, `NAME < TEXT`: expects just that; `#` stands for some digits in words.
+//! - `NAME echoes WORDS`: expects that and answers with the id as the value, for when either may come first.
 //! - `NAME close`, `NAME closed`: closes, expects the end. `term`, `exit`: SIGTERM, expects a clean end.
 //! - `feature LINE`: a line of our own file. `NAME run WORDS`: starts a subcommand; `NAME says TEXT` expects its next
 //!   line, `NAME ends CODE` its end.
@@ -237,6 +238,16 @@
         String::from_utf8_lossy(&got[..got.len() - end.len()]).into_owned()
     }
 
+    /// The words of a command.
+    fn words(&mut self, name: &str) -> String {
+        let n = self.until(name, b"\r\n").trim_start_matches('*').parse().expect("an array");
+        let one = |_| {
+            self.until(name, b"\r\n");
+            self.until(name, b"\r\n")
+        };
+        (0..n).map(one).collect::<Vec<_>>().join(" ")
+    }
+
     fn step(&mut self, line: &str) {
         let addresses = self.listeners.iter().map(|(n, l)| (format!("{{{n}}}"), local(l)));
         let conf = self.path.with_file_name("martenweir.conf").display().to_string();
@@ -349,13 +360,15 @@
             }
             (_, ">") => self.connection(name).write_all(&unescape(text)).expect("sent"),
             (_, "<<") => {
-                let n = self.until(name, b"\r\n").trim_start_matches('*').parse().expect("an array");
-                let one = |_| {
-                    self.until(name, b"\r\n");
-                    self.until(name, b"\r\n")
-                };
-                let words = (0..n).map(one).collect::<Vec<_>>().join(" ");
+                let words = self.words(name);
+                assert!(matches(text, &words), "{name}: expected {text:?}, got {words:?}");
+            }
+            (_, "echoes") => {
+                let words = self.words(name);
                 assert!(matches(text, &words), "{name}: expected {text:?}, got {words:?}");
+                let id = words.split(' ').nth(2).expect("an id");
+                let answer = format!("*3\r\n${}\r\n{id}\r\n$-1\r\n$-1\r\n", id.len());
+                self.connection(name).write_all(answer.as_bytes()).expect("sent");
             }
             (_, "<") => {
                 let (wanted, mut got) = (unescape(text), Vec::new());
