Give up all that waits for a file that is full or removed, so that none of it makes it anew

Seen on reading the whole change: after the first error the batches already waiting were still handed to the sink, which opened the path again and made the file that had been removed, against what the docs say. The writer now gives up what is held together with the target. figures_removed fails without this (the file is there again).

--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -285,6 +285,13 @@
         self.fill(&mut state);
     }
 
+    /// The target is given up, and with it all that was meant for it.
+    fn stop(&self) {
+        self.stopped.set(true);
+        let mut state = self.state.borrow_mut();
+        *state = State { closing: state.closing, ..State::default() };
+    }
+
     /// A planned end: flushes once and gives the writer a moment.
     pub async fn end(&self, gauges: Gauges, writer: impl std::future::Future<Output = ()>) {
         self.flush(gauges);
@@ -305,8 +312,10 @@
                 sink.stderr(lines).await;
             } else if let Some(batch) = self.take() {
                 let lost = sink.put(batch).await;
-                self.stopped.set(sink.stopped);
                 self.done(lost);
+                if sink.stopped {
+                    self.stop();
+                }
             } else if self.state.borrow().closing {
                 return;
             } else {
@@ -368,9 +377,8 @@
                         0
                     }
                     Err(why) => {
-                        if !std::mem::replace(&mut self.stopped, true) {
-                            warn!("figures: {shown}: {why}; no more are written");
-                        }
+                        self.stopped = true;
+                        warn!("figures: {shown}: {why}; no more are written");
                         lost
                     }
                 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -11,7 +11,7 @@
 //! - `NAME hears TEXT`: expects a line like this; `NAME tells TEXT`: reads to the end, whole lines of a watcher's
 //!   fields and this one last.
 //! - `NAME holds TEXT`: expects it in a file of the folder `{dir}`; `fifo NAME`, `remove NAME`: makes one, removes
-//!   one. `deaf`: nobody reads the log any more. `pause MS`: lets time pass.
+//!   one; `NAME absent`: it is not there. `deaf`: nobody reads the log any more. `pause MS`: lets time pass.
 //! - `udp hears TEXT`: waits for a datagram with it at `{u}`; `udp shut`, `udp open`: nobody is there, somebody is.
 //! - `repeat N STEP && STEP`: the steps N times, `{i}` being 0, 1, 2 ...
 //! - `NAME gone`: a node is stopped.
@@ -279,6 +279,7 @@
                 }
             }
             ("remove", file) => std::fs::remove_file(self.path.with_file_name(file)).expect("a file"),
+            (_, "absent") => assert!(!self.path.with_file_name(name).exists(), "{name} is there"),
             ("deaf", _) => self.log = std::sync::mpsc::channel().1,
             ("pause", ms) => std::thread::sleep(Duration::from_millis(ms.parse().expect("a time"))),
             (_, "gone") => {
