Keep the words for outcomes, reads, classes and tenants each in one place

Ended::name stood in tap though figures use it too: it is the core's. hit, miss and pending stood in the core and in upstream: one table now. Names of classes and tenants were looked up in tap, figures and multi-get: Site does it, and figures share it instead of holding copies. The runner's steps share their checks. No behaviour is meant to change.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -91,6 +91,21 @@
     Left,
 }
 
+impl Ended {
+    /// As lines and figures name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ended::Served => "served",
+            Ended::Refused => "refused",
+            Ended::Failed => "failed",
+            Ended::Left => "left",
+        }
+    }
+}
+
+/// How a node says that a read went: [`Outcome::note`] counts these from 1.
+pub const READS: [&str; 3] = ["hit", "miss", "pending"];
+
 /// What is told of a stream when it has ended.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -110,7 +125,7 @@
 impl Record {
     /// `hit`, `miss` or `pending`, where a node said so.
     pub fn read(&self) -> Option<&'static str> {
-        ["hit", "miss", "pending"].get((self.note as usize).checked_sub(1)?).copied()
+        READS.get((self.note as usize).checked_sub(1)?).copied()
     }
 }
 
--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -174,8 +174,7 @@
 #[derive(Debug)]
 pub struct Figures {
     settings: Settings,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    site: Rc<Site>,
     state: RefCell<State>,
     /// The target is given up.
     stopped: Cell<bool>,
@@ -184,14 +183,10 @@
 }
 
 impl Figures {
-    pub fn new(settings: Settings, site: &Site) -> Self {
-        Figures::named(settings, site.classes.clone(), site.tenants.clone())
-    }
-
-    fn named(settings: Settings, classes: Vec<String>, tenants: Vec<String>) -> Self {
+    pub fn new(settings: Settings, site: Rc<Site>) -> Self {
         let (wake, woken) = async_channel::bounded(1);
         let (state, stopped) = (RefCell::default(), Cell::new(false));
-        Figures { settings, classes, tenants, state, stopped, wake, woken }
+        Figures { settings, site, state, stopped, wake, woken }
     }
 
     pub fn flush_every(&self) -> Micros {
@@ -204,9 +199,8 @@
     }
 
     fn tags(&self, class: ClassId, tenant: TenantId) -> [(&'static str, &str); 2] {
-        let class = self.classes.get(usize::from(class.0)).map_or("-", String::as_str);
-        let tenant = self.tenants.get(tenant.0 as usize).map_or("-", String::as_str);
-        [("class", class), ("tenant", tenant)]
+        let (class, tenant) = (self.site.class(class), self.site.tenant(tenant));
+        [("class", class.unwrap_or("-")), ("tenant", tenant.unwrap_or("-"))]
     }
 
     pub fn record(&self, record: &Record) {
@@ -500,8 +494,12 @@
         _ => return Err("usage: martenweir figurestest [FILE]".into()),
     };
     let mut sink = Sink::new(settings.target.clone());
-    let classes = ["lookup", "instruct"].map(String::from).to_vec();
-    let figures = Figures::named(settings, classes, vec!["figurestest".into()]);
+    let site = Site {
+        classes: ["lookup", "instruct"].map(String::from).to_vec(),
+        tenants: vec!["figurestest".into()],
+        ..Site::default()
+    };
+    let figures = Figures::new(settings, Rc::new(site));
     let ends = [Ended::Served, Ended::Refused, Ended::Failed, Ended::Left];
     for (class, ended, note) in ends.into_iter().enumerate().map(|(i, e)| (i as u16 % 2, e, 1 + i as u32 % 3))
     {
--- a/src/features/multiget.rs
+++ b/src/features/multiget.rs
@@ -164,9 +164,9 @@
         return Err("wrong number of arguments");
     }
     let ask = words.ask(downstream, place, command)?;
-    let class = usize::from(ask.class.0);
-    let safe = words.site.settings.classes.get(class).is_some_and(|c| c.repeat == Repeat::Retryable);
-    let instruct = words.site.classes.get(class).is_some_and(|name| name == "instruct");
+    let class = words.site.settings.classes.get(usize::from(ask.class.0));
+    let safe = class.is_some_and(|c| c.repeat == Repeat::Retryable);
+    let instruct = words.site.class(ask.class) == Some("instruct");
     Some(ask).filter(|_| safe && !instruct).ok_or("a class of writes")
 }
 
--- a/src/features/tap.rs
+++ b/src/features/tap.rs
@@ -2,7 +2,7 @@
 //! read is held up to a bound, then the watcher is cut; nobody ever waits for one.
 
 use crate::codec::discovery;
-use crate::core::{Ended, Record};
+use crate::core::Record;
 use crate::interface::{ClassId, TenantId};
 use crate::net::downstream::{farewell, Link, Order, Waits};
 use crate::net::{read, tell, News};
@@ -197,8 +197,8 @@
         let line = format!(
             "{} {} {} {} {} {} {}ms {}\n",
             record.at / 1000,
-            known(self.site.classes.get(usize::from(record.class.0)).map(String::as_str)),
-            known(self.site.tenants.get(record.tenant.0 as usize).map(String::as_str)),
+            known(self.site.class(record.class)),
+            known(self.site.tenant(record.tenant)),
             known(Some(&id)),
             known(record.node.as_deref()),
             record.read().unwrap_or("-"),
@@ -209,18 +209,6 @@
     }
 }
 
-impl Ended {
-    /// As lines and figures name it.
-    pub fn name(self) -> &'static str {
-        match self {
-            Ended::Served => "served",
-            Ended::Refused => "refused",
-            Ended::Failed => "failed",
-            Ended::Left => "left",
-        }
-    }
-}
-
 enum Woken {
     Finish,
     More,
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::{consume, origin, read, tell, News, Queue};
 use crate::codec::{self, resp, Malformed, Parsed};
-use crate::core::{ConnectionId, Input, Job, Reply, Stage};
+use crate::core::{ConnectionId, Input, Job, Reply, Stage, READS};
 use crate::interface::Verdict;
 use async_channel::Receiver;
 use async_io::Async;
@@ -61,8 +61,7 @@
 
 /// How a read went, as the module counts it; `None` for a word that no node says.
 fn note(how: Option<&[u8]>) -> Option<u32> {
-    let words: [&[u8]; 3] = [b"hit", b"miss", b"pending"];
-    how.map_or(Some(0), |how| words.iter().position(|w| *w == how).map(|at| at as u32 + 1))
+    how.map_or(Some(0), |how| READS.iter().position(|w| w.as_bytes() == how).map(|at| at as u32 + 1))
 }
 
 fn reply(reply: resp::Reply, probe: bool, columns: &[String]) -> Reply {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -188,7 +188,7 @@
     let now = clock.now();
     let upstream_sockets = (config.sockets - RESERVE) * 2 / 5;
     let site = Rc::new(config.site);
-    let figures = features.figures.clone().map(|settings| Rc::new(Figures::new(settings, &site)));
+    let figures = features.figures.clone().map(|settings| Rc::new(Figures::new(settings, site.clone())));
     let writer = figures.clone().map(|figures| executor.spawn(figures.write(log)));
     let mut owner = Owner {
         core: Core::new(now, site.settings.clone(), config.seed, upstream_sockets, config.known),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -91,7 +91,7 @@
 }
 
 /// The settings with the names that stand for positions in them: the simulator passes positions, sockets names.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Site {
     pub settings: Settings,
     pub classes: Vec<String>,
@@ -102,6 +102,16 @@
     pub columns: Vec<String>,
 }
 
+impl Site {
+    pub fn class(&self, id: ClassId) -> Option<&str> {
+        self.classes.get(usize::from(id.0)).map(String::as_str)
+    }
+
+    pub fn tenant(&self, id: TenantId) -> Option<&str> {
+        self.tenants.get(id.0 as usize).map(String::as_str)
+    }
+}
+
 /// Reads the settings of a configuration.
 pub fn site(v: &Value) -> Read<Site> {
     let settings = from_value(v)?;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -58,6 +58,11 @@
     }
 }
 
+/// Whose connection it is: its name without the number.
+fn base(name: &str) -> &str {
+    name.trim_end_matches(|c: char| c.is_ascii_digit())
+}
+
 fn local(listener: &TcpListener) -> String {
     listener.local_addr().expect("an address").to_string()
 }
@@ -90,6 +95,12 @@
     socket.into()
 }
 
+fn collector(at: SocketAddr) -> UdpSocket {
+    let collector = UdpSocket::bind(at).expect("a port");
+    collector.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    collector
+}
+
 fn unescape(text: &str) -> Vec<u8> {
     // A run of a letter stands for itself: {x*70000}.
     let run = text.split_once("{x*").and_then(|(head, rest)| Some((head, rest.split_once('}')?)));
@@ -141,8 +152,7 @@
         write(&path, config.to_string()).expect("a file");
         let mut program = Command::new(env!("CARGO_BIN_EXE_martenweir"));
         let conf = dir.join("martenweir.conf");
-        let collector = UdpSocket::bind("127.0.0.1:0").expect("a port");
-        collector.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let collector = collector("127.0.0.1:0".parse().expect("an address"));
         let collects = collector.local_addr().expect("an address");
         for name in line("fifo ") {
             assert!(Command::new("mkfifo").arg(dir.join(name)).status().expect("mkfifo").success());
@@ -206,17 +216,17 @@
     /// A connection by its name: a client's is opened at its first use, a node's accepted.
     fn connection(&mut self, name: &str) -> &mut TcpStream {
         if !self.connections.contains_key(name) {
-            let listener = self.listeners.get(name.trim_end_matches(|c: char| c.is_ascii_digit()));
+            let listener = self.listeners.get(base(name));
             let socket = match listener {
                 Some(listener) => accept(listener, name),
                 None => {
-                    let port = name.chars().next().filter(|c| self.listen.contains_key(c)).unwrap_or('c');
                     // `f` and `g` are fronts, on other loopback addresses; `h` is one at the multi-get port.
-                    let (port, from) = match name.chars().next().unwrap_or('c') {
-                        'f' => ('c', 2),
-                        'g' => ('c', 3),
-                        'h' => ('m', 3),
-                        _ => (port, 1),
+                    let (port, from) = match name.chars().next() {
+                        Some('f') => ('c', 2),
+                        Some('g') => ('c', 3),
+                        Some('h') => ('m', 3),
+                        Some(port) if self.listen.contains_key(&port) => (port, 1),
+                        _ => ('c', 1),
                     };
                     connect(&self.listen[&port], from)
                 }
@@ -238,14 +248,16 @@
         String::from_utf8_lossy(&got[..got.len() - end.len()]).into_owned()
     }
 
-    /// The words of a command.
-    fn words(&mut self, name: &str) -> String {
+    /// The words of a command, which are to be these.
+    fn words(&mut self, name: &str, text: &str) -> String {
         let n = self.until(name, b"\r\n").trim_start_matches('*').parse().expect("an array");
         let one = |_| {
             self.until(name, b"\r\n");
             self.until(name, b"\r\n")
         };
-        (0..n).map(one).collect::<Vec<_>>().join(" ")
+        let words = (0..n).map(one).collect::<Vec<_>>().join(" ");
+        assert!(matches(text, &words), "{name}: expected {text:?}, got {words:?}");
+        words
     }
 
     fn step(&mut self, line: &str) {
@@ -284,14 +296,10 @@
             ("pause", ms) => std::thread::sleep(Duration::from_millis(ms.parse().expect("a time"))),
             (_, "gone") => {
                 self.listeners.remove(name);
-                self.connections.retain(|n, _| n.trim_end_matches(|c: char| c.is_ascii_digit()) != name);
+                self.connections.retain(|n, _| base(n) != name);
             }
             ("udp", "shut") => self.collector = None,
-            ("udp", "open") => {
-                let collector = UdpSocket::bind(self.collects).expect("the port from before");
-                collector.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-                self.collector = Some(collector);
-            }
+            ("udp", "open") => self.collector = Some(collector(self.collects)),
             ("udp", _) => loop {
                 let mut bytes = [0; 65536];
                 let n = self.collector.as_ref().expect("open").recv(&mut bytes).expect("a datagram");
@@ -360,13 +368,9 @@
                 self.connection(name).write_all(command.as_bytes()).expect("sent");
             }
             (_, ">") => self.connection(name).write_all(&unescape(text)).expect("sent"),
-            (_, "<<") => {
-                let words = self.words(name);
-                assert!(matches(text, &words), "{name}: expected {text:?}, got {words:?}");
-            }
+            (_, "<<") => drop(self.words(name, text)),
             (_, "echoes") => {
-                let words = self.words(name);
-                assert!(matches(text, &words), "{name}: expected {text:?}, got {words:?}");
+                let words = self.words(name, text);
                 let id = words.split(' ').nth(2).expect("an id");
                 let answer = format!("*3\r\n${}\r\n{id}\r\n$-1\r\n$-1\r\n", id.len());
                 self.connection(name).write_all(answer.as_bytes()).expect("sent");
