Call discovery in one chain, with backoff and jitter by the fleet's size

Ruled out: discovery being down until 24 s whatever is asked of it: with the change it answers at 12 s.

Its tests play 16, 100 and 200 proxies; with the old pause and chains they fail.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 
 mod pool;
 pub mod survey;
+mod watch;
 mod wheel;
 
 use crate::choice::Balancer;
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use survey::{Marks, Survey};
+use watch::Watch;
 use wheel::Wheel;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -312,9 +314,6 @@
 /// A probe that takes longer than this tells that the node is stuck.
 const PROBE_TIMEOUT: Micros = 400_000;
 const SWEEP: Micros = 500_000;
-/// Discovery says something every 2 s; this long a silence means that the watch is dead.
-const SILENCE: Micros = 4_500_000;
-const REWATCH: Micros = 300_000;
 /// What [`Outcome::note`] says of a miss.
 const MISS: u32 = 2;
 /// How long after its downstream's patience a stream without an answer is failed here, whatever the module does.
@@ -340,7 +339,7 @@
     last_id: u64,
     /// The last revision told by the discovery that is watched now, or known at the start.
     revision: Option<u64>,
-    heard: Micros,
+    watch: Watch,
     told: bool,
     pub counters: Counters,
     /// Somebody wants the records of streams.
@@ -365,7 +364,7 @@
             actions: Vec::new(),
             last_id: 0,
             revision: Some(known.revision),
-            heard: now,
+            watch: Watch::new(now, settings.routers, seed),
             told: false,
             counters: Counters::default(),
             observed: false,
@@ -458,7 +457,7 @@
             Input::Broken(c, stage) => self.broken(now, c, stage),
             Input::Replied(c, reply) => self.replied(now, c, reply),
             Input::Cluster(list) => {
-                self.heard = now;
+                self.watch.heard(now);
                 self.marks.heard(now, list.is_some());
                 if let Some(list) = list {
                     self.told = true;
@@ -472,11 +471,12 @@
                 if self.settings.must_subscribe {
                     self.events.push_back(Event::Members { form: ListForm::Failed, entries: Vec::new() });
                 }
-                self.wheel.insert(now + REWATCH, Due::Rewatch);
+                self.rewatch(now);
             }
             Input::Moved => {
                 // The new one counts its revisions for itself, so the whole list is asked for.
-                (self.heard, self.revision) = (now, None);
+                self.watch.moved(now);
+                self.revision = None;
                 self.effects.push(Effect::Watch { after: None });
             }
         }
@@ -520,19 +520,28 @@
                         self.close(c);
                     }
                     self.marks.forget(now);
-                    if now - self.heard > SILENCE {
-                        self.heard = now;
+                    if self.watch.is_silent(now) {
                         self.effects.push(Effect::Note("discovery is silent: watching anew".into()));
-                        self.effects.push(Effect::Watch { after: self.revision });
+                        self.rewatch(now);
                     }
                     self.wheel.insert(now + SWEEP, Due::Sweep);
                 }
-                Due::Rewatch => self.effects.push(Effect::Watch { after: self.revision }),
+                Due::Rewatch => {
+                    if self.watch.due(now) {
+                        self.effects.push(Effect::Watch { after: self.revision });
+                    }
+                }
             }
             self.settle(now);
         }
     }
 
+    /// The watch has ended, or says nothing more: discovery is called again in a while.
+    fn rewatch(&mut self, now: Micros) {
+        let at = self.watch.ended(now);
+        self.wheel.insert(at, Due::Rewatch);
+    }
+
     fn id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
@@ -574,7 +583,10 @@
                 self.launch(now, None, None, server, now + PROBE_TIMEOUT);
             }
             Action::Release { server } => self.close_idle(server),
-            Action::List => self.effects.push(Effect::Watch { after: None }),
+            Action::List => {
+                self.watch.called(now);
+                self.effects.push(Effect::Watch { after: None });
+            }
             // Sockets always watch; a module that asks again has heard that the watch ended.
             Action::Subscribe => {}
         }
--- /dev/null
+++ b/src/core/watch.rs
@@ -0,0 +1,131 @@
+//! When to call discovery: one chain of calls a proxy, with exponential backoff and jitter.
+//!
+//! It owns the time of the next call and how many have failed in a row. It opens nothing and reads no clock. All
+//! proxies of a fleet lose discovery in the same moment, and it answers a fixed number of calls a second: what
+//! they may ask of it together is divided by how many they are.
+
+use crate::interface::Micros;
+use crate::state::mix;
+
+/// Discovery says something every 2 s; this long a silence means that the watch is dead.
+const SILENCE: Micros = 4_500_000;
+/// The least time from the end of a watch to the next call, in us.
+const LEAST: Micros = 300_000;
+/// What the first calls after a common end are spread over, for each proxy of the fleet, in us: together they
+/// call discovery fifty times a second, whatever their number.
+const SPREAD: Micros = 20_000;
+/// The most that the doublings make of it, in us, for fleets up to a hundred; for larger ones four times the first.
+const LONGEST: Micros = 8_000_000;
+
+#[derive(Debug)]
+pub(super) struct Watch {
+    /// The spread of this fleet's first calls.
+    spread: Micros,
+    rng: u64,
+    failed: u32,
+    heard: Micros,
+    /// When to call next; `None` while a call or a watch is open.
+    due: Option<Micros>,
+}
+
+impl Watch {
+    /// A call is made at once, by whoever makes this.
+    pub fn new(now: Micros, routers: u32, seed: u64) -> Self {
+        let spread = (SPREAD * Micros::from(routers)).max(LEAST);
+        Watch { spread, rng: mix(seed ^ 0x77a7_c4e5), failed: 0, heard: now, due: None }
+    }
+
+    /// Discovery has said something.
+    pub fn heard(&mut self, now: Micros) {
+        (self.heard, self.failed, self.due) = (now, 0, None);
+    }
+
+    /// The call or the watch has ended: when to call again. One that was given up for silent ends once more.
+    pub fn ended(&mut self, now: Micros) -> Micros {
+        if let Some(at) = self.due {
+            return at;
+        }
+        let over = (self.spread << self.failed.min(16)).min(LONGEST.max(4 * self.spread));
+        self.failed += 1;
+        self.rng = mix(self.rng.wrapping_add(1));
+        let jitter = (self.rng >> 11) as f64 / (1u64 << 53) as f64;
+        let at = now + LEAST + (over as f64 * jitter) as Micros;
+        self.due = Some(at);
+        at
+    }
+
+    /// Whether the watch has been silent for so long that it is dead.
+    pub fn is_silent(&self, now: Micros) -> bool {
+        self.due.is_none() && now - self.heard > SILENCE
+    }
+
+    /// Whether the call that was put off till now is to be made. One that was taken over by news, or by a call
+    /// elsewhere, is not.
+    pub fn due(&mut self, now: Micros) -> bool {
+        let due = self.due.is_some_and(|at| at <= now);
+        if due {
+            self.called(now);
+        }
+        due
+    }
+
+    /// A call is made, for whatever reason.
+    pub fn called(&mut self, now: Micros) {
+        (self.heard, self.due) = (now, None);
+    }
+
+    /// Discovery is to be found elsewhere: what failed before says nothing of it.
+    pub fn moved(&mut self, now: Micros) {
+        self.failed = 0;
+        self.called(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The times at which 100 proxies call, all cut off at once, while discovery turns every call away at once.
+    fn calls(routers: u32, until: Micros) -> Vec<Micros> {
+        let mut all = Vec::new();
+        for seed in 0..u64::from(routers) {
+            let mut watch = Watch::new(0, routers, seed);
+            let mut at = watch.ended(0);
+            while at <= until {
+                assert!(watch.due(at), "what was put off is made");
+                assert!(!watch.due(at), "and made once");
+                all.push(at);
+                at = watch.ended(at);
+            }
+        }
+        all
+    }
+
+    #[test]
+    fn a_fleet_that_lost_discovery_at_once_calls_it_a_bounded_number_of_times_a_second() {
+        for routers in [16, 100, 200] {
+            let all = calls(routers, 20_000_000);
+            let most = (0..20).map(|s| all.iter().filter(|at| **at / 1_000_000 == s).count()).max();
+            assert!(most <= Some(75), "{routers} proxies: {most:?} calls in a second");
+            let late = all.iter().filter(|at| **at >= 10_000_000).count() / 10;
+            assert!(late <= 40, "{routers} proxies: {late} a second later on");
+        }
+    }
+
+    #[test]
+    fn a_lone_proxy_calls_again_soon() {
+        let mut watch = Watch::new(0, 1, 7);
+        assert!((LEAST..=2 * LEAST).contains(&watch.ended(0)));
+    }
+
+    #[test]
+    fn silence_while_a_call_is_put_off_adds_no_second_chain() {
+        let mut watch = Watch::new(0, 1_000, 7);
+        let at = watch.ended(0);
+        assert!(!watch.is_silent(at.max(60_000_000)), "it is known to be gone");
+        assert!(watch.due(at));
+        assert!(watch.is_silent(at + SILENCE + 1));
+        watch.heard(at + SILENCE + 2);
+        assert!(!watch.is_silent(at + SILENCE + 3) && !watch.due(Micros::MAX), "news ends the chain");
+    }
+}
