Tell a lost zone from all its nodes together, and blame no other for it

Of those sampled, 9 in 10 had failing 0.3 to 0.49 with 9 to 18 of 33 silent nodes evicted: each proxy asks a node every 2 to 4 s and wants three failures in a row (src/choice.rs, judge and ranked), so time-outs of half the fleet were taken for a fault behind all of it (failing, FAILING), nothing more was evicted, and what was left refused.

Ruled out: the ledger (strain 1.0 to 1.7, nothing queued) and cold budgets as the first cause (the refusals begin 4 s before a cold node is listed); both limit what comes after.

limits::Domain: four distinct nodes of a zone asked, none with an answer for longer than answers take: the zone is left alone and tried with backoff and jitter; the first answer ends it. A refused connection is a sign of a way there.

Both tests of the module fail without it (111 of 112 requests refused; 16 sends a second into the lost zone in its fourth second).

--- /dev/null
+++ b/crates/limits/src/domain.rs
@@ -0,0 +1,129 @@
+//! Whether a whole failure domain (a hall, a zone) is out of reach, told from all its nodes together.
+//!
+//! Use it where many nodes stand behind one thing that can fail, and a proxy sees little of each of them: with
+//! a request every few seconds a node, three failures in a row at each of thirty would take half a minute. Do
+//! not use it for a node: one is asked again before several distinct ones could be silent.
+//!
+//! A domain that is there gives signs of life with whatever it answers, refusals and errors too. It is lost once
+//! [`NODES`] distinct nodes of it were asked since the last sign, none has answered, and the first of them has
+//! had the time that answers take. From then on it may be tried now and then, with exponential backoff and
+//! jitter, until it gives a sign: the first one ends the loss.
+//!
+//! - At the start, and after silence with nothing asked: there.
+//! - With fewer than [`NODES`] nodes: never lost; its nodes are judged one by one.
+//! - A clock that goes back makes the silence shorter, never negative.
+//!
+//! Sources: outlier detection by locality as Envoy does it (a panic threshold that a caller has to keep: with all
+//! domains lost, all are used); suspicion by accrued silence, Hayashibara and others, "The phi accrual failure
+//! detector" (2004).
+
+use crate::Micros;
+
+/// Distinct nodes that have to be silent. At one timeout in twenty among healthy ones, four in a row are chance
+/// once in 160,000 times.
+pub const NODES: usize = 4;
+/// The first pause between two tries of a lost domain, in us, and its doublings at most.
+const TRY: Micros = 500_000;
+const DOUBLINGS: u32 = 3;
+
+/// See the file's comment.
+#[derive(Clone, Debug, Default)]
+pub struct Domain {
+    /// Distinct nodes asked since the last sign of life, and when the first of them was.
+    asked: [Option<u64>; NODES],
+    since: Micros,
+    /// While it is lost: tries made, and when the next may be.
+    tries: u32,
+    next: Micros,
+}
+
+impl Domain {
+    /// A node of it is asked. `draw` from 0 to 1 spreads the tries of many proxies, if it is lost by then.
+    pub fn sent(&mut self, now: Micros, node: u64, patience: Micros, draw: f64) {
+        if self.is_lost(now, patience) {
+            let pause = TRY << self.tries.min(DOUBLINGS);
+            self.next = now + (pause as f64 * (0.5 + draw)) as Micros;
+            self.tries += 1;
+        }
+        if self.asked[0].is_none() {
+            self.since = now;
+        }
+        if !self.asked.contains(&Some(node)) {
+            if let Some(free) = self.asked.iter_mut().find(|a| a.is_none()) {
+                *free = Some(node);
+            }
+        }
+    }
+
+    /// A node of it has answered, whatever it said.
+    pub fn answered(&mut self) {
+        *self = Domain::default();
+    }
+
+    /// Whether it has said nothing for longer than `patience` to several that were asked.
+    pub fn is_lost(&self, now: Micros, patience: Micros) -> bool {
+        self.asked[NODES - 1].is_some() && now.saturating_sub(self.since) > patience
+    }
+
+    /// Whether its nodes may be used: it is there, or a try is due.
+    pub fn takes(&self, now: Micros, patience: Micros) -> bool {
+        !self.is_lost(now, patience) || now >= self.next
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LONG: Micros = 300_000;
+
+    #[test]
+    fn a_hall_is_lost_after_four_silent_nodes_and_found_by_one_answer() {
+        let mut hall = Domain::default();
+        for node in 0..3 {
+            hall.sent(i64::from(node as u8) * 50_000, node, LONG, 0.5);
+        }
+        assert!(!hall.is_lost(10_000_000, LONG), "three may be bad by themselves");
+        hall.sent(10_000_000, 2, LONG, 0.5);
+        assert!(!hall.is_lost(10_000_000, LONG), "one asked twice is one");
+        hall.sent(10_000_000, 3, LONG, 0.5);
+        assert!(hall.is_lost(10_000_000, LONG));
+        hall.answered();
+        assert!(!hall.is_lost(20_000_000, LONG));
+    }
+
+    #[test]
+    fn a_busy_hall_that_has_not_had_its_time_is_there() {
+        let mut hall = Domain::default();
+        (0..30).for_each(|node| hall.sent(0, node, LONG, 0.5));
+        assert!(!hall.is_lost(LONG, LONG));
+        assert!(hall.is_lost(LONG + 1, LONG));
+    }
+
+    /// A hundred proxies before a hall of thirty that is gone for 20 s, each with seven requests a second for it:
+    /// what they send there together, and how soon the last one is back.
+    #[test]
+    fn a_fleet_tries_a_lost_hall_a_bounded_number_of_times() {
+        let (mut sent, mut found) = (Vec::new(), Vec::new());
+        for proxy in 0..100u64 {
+            let mut hall = Domain::default();
+            let mut at = 0;
+            for k in 0u64.. {
+                at += 140_000;
+                let draw = (proxy * 37 + k * 61) % 100;
+                if hall.takes(at, LONG) {
+                    if at >= 20_000_000 {
+                        found.push(at);
+                        break;
+                    }
+                    hall.sent(at, k % 30, LONG, draw as f64 / 100.0);
+                    sent.push(at);
+                }
+            }
+        }
+        let later = sent.iter().filter(|at| **at >= 3_000_000).count();
+        assert!(later <= 17 * 40, "{later} tries in 17 s, 40 a second at most");
+        assert!(found.iter().all(|at| *at < 27_000_000), "back within a pause");
+        assert!(sent.len() - later < 100 * 12, "{} before it was known", sent.len() - later);
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`budget`] | a part of the first attempts | repeats, second copies, clients' marked retries |
 //! | [`popular`] | nothing: it counts keys | ordering what waits |
 //! | [`cold`] | work over any window | a server that has just started |
+//! | [`domain`] | the silence of many nodes together | a hall of which each node sees little: in service |
 //!
 //! What adapts how much is out implements [`Limit`] and is fed in one way: [`Limit::sent`] once for each
 //! upstream request, [`Limit::ended`] once for its end. The rest is simpler and has methods of its own.
@@ -32,6 +33,7 @@
 pub mod budget;
 pub mod codel;
 pub mod cold;
+pub mod domain;
 mod ghosts;
 pub mod gradient;
 pub mod ledger;
@@ -49,6 +51,7 @@
 pub use budget::{Budget, Extra};
 pub use codel::{Law, Queue};
 pub use cold::{Cold, Warming};
+pub use domain::Domain;
 pub use gradient::Gradient;
 pub use ledger::Ledger;
 pub use node::Node;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,7 @@
 use crate::servers::Servers;
 pub use crate::state::shares;
 use crate::state::*;
-use limits::{Bucket, Budget, Extra, Ledger, Limit, Popular, Sample};
+use limits::{Bucket, Budget, Domain, Extra, Ledger, Limit, Popular, Sample};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Candidates a key is spread over (d); 2 makes the shares of Eq. 7 as sharp as they get.
@@ -101,6 +101,8 @@
     aim: Micros,
     /// Part of the attempts that got no connection, lately.
     unconnected: f64,
+    /// Whether each zone's caches are within reach.
+    zones: BTreeMap<ZoneId, Domain>,
     /// Aside mode: the requests that wait for each key's fetch, its leader first; the queue for the origin,
     /// and how much may be out there.
     fetches: BTreeMap<Key, VecDeque<RequestId>>,
@@ -339,22 +341,10 @@
         self.advance(now, id, out);
     }
 
-    /// This router's part of the quotas: an even split over routers, or more where it carries more. It sees
-    /// that by the use of the tenants that hold the middle of the quotas, taken to be within their share.
     fn split_quotas(&mut self, keep: f64) {
         let even = 1.0 / f64::from(self.settings.routers.max(1));
-        let mut used: Vec<(f64, f64)> = Vec::with_capacity(self.tenants.len());
-        for (b, q) in self.tenants.iter_mut().zip(&self.settings.quotas).filter(|(_, q)| **q > 0.0) {
-            used.push((b.asked * (1.0 - keep) / keep / (REFRESH as f64 / 1e6) / q, *q));
-            b.asked *= keep;
-        }
-        used.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut half = used.iter().map(|u| u.1).sum::<f64>() / 2.0;
-        used.retain(|u| {
-            half -= u.1;
-            half <= 0.0
-        });
-        self.part = used.first().map_or(even, |u| u.0.max(even));
+        let second = keep * REFRESH as f64 / 1e6 / (1.0 - keep);
+        self.part = middle_part(&mut self.tenants, &self.settings.quotas, second, keep).max(even);
     }
 
     /// Whether a server may be sent a request now: listed ready, its cold budget, what may run twice where.
@@ -410,7 +400,8 @@
             let marked = s.avoids(key);
             let due = !marked || s.last_send.is_none_or(|t| t + TRY_MARKED <= now);
             let tried = due && s.evicted_until <= now && self.trials >= 1.0;
-            !self.hangs(now, s) && (tried || (s.evictions == 0 && !marked))
+            let reached = self.zones.get(&s.member.zone).is_none_or(|z| z.takes(now, self.silent()));
+            reached && !self.hangs(now, s) && (tried || (s.evictions == 0 && !marked))
         };
         let far = FAR.powf(self.origin.room());
         let near = |s: &Server| if s.member.zone == self.settings.zone { 1.0 } else { far };
@@ -424,6 +415,11 @@
         }
     }
 
+    /// Silence that tells of more than pauses.
+    fn silent(&self) -> Micros {
+        SILENT.max(self.long)
+    }
+
     /// Whether a server takes requests and says nothing: known long before the first runs out of time.
     pub(crate) fn hangs(&self, now: Micros, s: &Server) -> bool {
         s.gate.out() > 1 && s.gate.silence(now) > SILENT.max(self.long / 2)
@@ -469,12 +465,15 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
-        let surplus = self.surplus();
+        let (surplus, silent, draw) = (self.surplus(), self.silent(), unit(mix(self.rng ^ now as u64)));
         let (Some(o), Some(s)) = (self.open.get_mut(&id), self.servers.get_mut(&server)) else { return };
         if let Some(last) = s.last_send.replace(now) {
             s.gaps.add((now - last) as f64);
         }
         s.gate.sent(now, s.gate.out() + 1);
+        if !s.origin {
+            self.zones.entry(s.member.zone).or_default().sent(now, server.0, silent, draw);
+        }
         self.trials -= f64::from(u8::from(s.evictions > 0 || s.avoid > 0.0)).min(self.trials);
         // A request far above the mean work draws as much more of a cold server's budget.
         s.budget -= o.request.hint.map_or(1.0, |h| (h / self.hints.mean().max(1.0)).max(1.0));
@@ -582,22 +581,28 @@
         }
         self.want(end.request, first);
         // Later than twice the shortest aim nobody waits for it.
-        let late = self.aim * 2;
-        let kept_waiting = !self.queue.is_empty();
-        let refused = f64::from(u8::from(end.verdict == Verdict::ConnectFailed));
-        self.unconnected += (refused - self.unconnected) / CONNECT_MEMORY;
+        let (late, kept_waiting) = (self.aim * 2, !self.queue.is_empty());
+        let (silent, dial) = (self.silent(), self.settings.connect_timeout);
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let ending = s.ending(end, sent, late);
+        // A zone that is out of reach says nothing of the rest of the fleet, nor of its own servers.
+        let zone = self.zones.entry(s.member.zone).or_default();
+        if !s.origin && end.shows_a_way(dial) {
+            zone.answered();
+        }
+        let lost = !s.origin && zone.is_lost(now, silent);
+        let refused = f64::from(u8::from(end.verdict == Verdict::ConnectFailed && !lost));
+        self.unconnected += (refused - self.unconnected) / CONNECT_MEMORY;
         let sample = Sample { now, sent, ending, out_at_send: s.gate.out(), kept_waiting };
         s.gate.ended(&sample);
         let good = matches!(end.verdict, Verdict::Served | Verdict::Miss);
-        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout) && !lone;
+        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout) && !lone && !lost;
         if matches!(end.verdict, Verdict::Served | Verdict::Timeout) && !lone {
             s.latency.add(end.elapsed.max(0) as f64);
         }
         // A process that answered a moment ago did not die: it was that connection.
         let alive = end.verdict == Verdict::Reset && s.answered + REFRESH > now;
-        let broken = matches!(end.verdict, Verdict::ConnectFailed | Verdict::Reset) && !alive;
+        let broken = matches!(end.verdict, Verdict::ConnectFailed | Verdict::Reset) && !alive && !lost;
         // Errors and time-outs all over the fleet come from behind it, and moving keys would add misses.
         s.failures += u32::from(broken || (bad && self.failing < FAILING));
         if good {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -295,6 +295,16 @@
     pub fn may_run_on(&self) -> bool {
         matches!(self.verdict, Verdict::Timeout | Verdict::Reset | Verdict::Cancelled)
     }
+
+    /// Whether something came back from the server's machine, be it that nobody listens there: a way to it exists.
+    /// A machine that is cut off says nothing, and its connections never come up.
+    pub fn shows_a_way(&self, connect_timeout: Micros) -> bool {
+        match self.verdict {
+            Verdict::Timeout | Verdict::Cancelled | Verdict::Moot => false,
+            Verdict::ConnectFailed => self.elapsed < connect_timeout / 2,
+            _ => true,
+        }
+    }
 }
 
 /// A server's terms as planners solved them for the fleet, and the trust in them, 0 to 1.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a router keeps, as plain data with its arithmetic: nothing is decided here.
 
 use crate::interface::*;
-use limits::{Ending, Node};
+use limits::{Bucket, Ending, Node};
 pub use placement::{mix, unit};
 use std::collections::VecDeque;
 
@@ -249,3 +249,21 @@
 pub fn long((mean, scv): (f64, f64)) -> Micros {
     (mean * (1.0 + 3.0 * scv.sqrt())) as Micros
 }
+
+/// A router's part of the quotas, by the use of the tenants that hold the middle of them, taken to be within
+/// their share: what was asked lately, a fading sum over `second` of a second, against the quota. The sums fade
+/// by `keep`. 0 without quotas.
+pub fn middle_part(tenants: &mut [Bucket], quotas: &[f64], second: f64, keep: f64) -> f64 {
+    let mut used: Vec<(f64, f64)> = Vec::with_capacity(tenants.len());
+    for (b, q) in tenants.iter_mut().zip(quotas).filter(|(_, q)| **q > 0.0) {
+        used.push((b.asked / second / q, *q));
+        b.asked *= keep;
+    }
+    used.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut half = used.iter().map(|u| u.1).sum::<f64>() / 2.0;
+    let middle = used.iter().find(|u| {
+        half -= u.1;
+        half <= 0.0
+    });
+    middle.map_or(0.0, |u| u.0)
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1115,3 +1115,70 @@
     assert!(served(0.5, 1.0) > own + own / 2, "{} with half of it, {own} alone", served(0.5, 1.0));
     assert_eq!(served(0.0, 1.0), own);
 }
+
+/// A router before thirty servers of one zone and thirty of another, with seven requests a second for each.
+fn thin(zone: u16) -> Router {
+    let class = Class { aim: 630 * MS, limit: 1_670 * MS, ..Class::default() };
+    let settings =
+        Settings { routers: 100, zone: ZoneId(zone), classes: vec![class], may_copy: true, ..settings() };
+    let zoned = |m: Member| Member { zone: ZoneId((m.server.0 % 2) as u16), ..m };
+    Router::new(settings, members(60).into_iter().map(zoned).collect())
+}
+
+/// Asks for keys that nobody asked for before, each 70 ms, and answers all but what goes to zone 0, which is cut
+/// off: it ends like `verdict`. How many were sent there in each second, and how many were refused.
+fn with_a_zone_cut(r: &mut Router, verdict: Verdict, seconds: usize) -> (Vec<usize>, usize) {
+    let (mut to_cut, mut no) = (vec![0; seconds], 0);
+    for n in 0..seconds * 14 {
+        r.pass(70 * MS);
+        let deadline = r.now + 1_670 * MS;
+        let key = Key(r.next * 7 + 1);
+        let (id, mut out) = r.ask(Request { key, deadline, ..Request::default() });
+        while server(&out).is_some_and(|to| to.0 % 2 == 0) {
+            to_cut[n / 14] += 1;
+            r.pass(250 * MS);
+            out = r.end(id, verdict, 250 * MS, vec![]);
+        }
+        if server(&out).is_some() {
+            r.end(id, Verdict::Served, 60 * MS, vec![]);
+        }
+        no += usize::from(refused(&out));
+    }
+    (to_cut, no)
+}
+
+/// Three failures in a row at each of thirty servers, each asked every four seconds, were known after the trouble.
+#[test]
+fn a_zone_that_is_out_of_reach_is_left_alone_within_a_second_by_a_router_that_sees_little() {
+    let mut r = thin(0);
+    (0..60).for_each(|_| {
+        r.pass(70 * MS);
+        let key = r.next + 1_000_000;
+        r.key(key);
+    });
+    let (to_cut, _) = with_a_zone_cut(&mut r, Verdict::ConnectFailed, 8);
+    assert!(to_cut[0] > 0, "it was in use");
+    assert!(to_cut[2..].iter().all(|n| *n <= 2), "{to_cut:?}");
+    assert!(to_cut[2..].iter().sum::<usize>() >= 1, "and is tried: {to_cut:?}");
+    // The first answer from there ends it, for all its servers.
+    let mut found = 0;
+    for _ in 0..140 {
+        r.pass(70 * MS);
+        let key = r.next + 2_000_000;
+        found += usize::from(r.key(key).is_some_and(|to| to.0 % 2 == 0));
+    }
+    assert!(found > 50, "{found}");
+}
+
+/// Time-outs of half the fleet were taken for a fault behind all of it, and requests refused that had a server.
+#[test]
+fn a_zone_that_is_out_of_reach_has_nothing_refused_elsewhere() {
+    let mut r = thin(0);
+    (0..60).for_each(|_| {
+        r.pass(70 * MS);
+        let key = r.next + 1_000_000;
+        r.key(key);
+    });
+    let (_, refused) = with_a_zone_cut(&mut r, Verdict::Timeout, 8);
+    assert!(refused <= 2, "{refused} of 112");
+}
