Close idle connections for full nodes only, and give a cold node no burst at its start

Counted over all proxies: 4,800 refusals in 2 s, after which 7,000 idle connections to healthy nodes are closed, 12,000 are dialled within 4 s, and the rest of the fleet turns 3,700 requests away in the next 2 s, busy with handshakes.

Line at fault: judge() in src/choice.rs took every refused connection for a node that holds as many as it can (unconnected, close_idle). Now a node's refusals count once it says something again; one that is gone never does. For the same reason a refused connection is no sign of life of its zone any more.

A proxy begins with less than one again; three may still be kept back later.

--- a/crates/limits/src/domain.rs
+++ b/crates/limits/src/domain.rs
@@ -55,9 +55,11 @@
         }
     }
 
-    /// A node of it has answered, whatever it said.
-    pub fn answered(&mut self) {
-        *self = Domain::default();
+    /// Something asked of it has ended, with or without a sign of life: an answer, whatever it says.
+    pub fn heard(&mut self, life: bool) {
+        if life {
+            *self = Domain::default();
+        }
     }
 
     /// Whether it has said nothing for longer than `patience` to several that were asked.
@@ -88,7 +90,7 @@
         assert!(!hall.is_lost(10_000_000, LONG), "one asked twice is one");
         hall.sent(10_000_000, 3, LONG, 0.5);
         assert!(hall.is_lost(10_000_000, LONG));
-        hall.answered();
+        hall.heard(true);
         assert!(!hall.is_lost(20_000_000, LONG));
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -180,7 +180,7 @@
             self.servers.retain(|id, _| listed.contains(id));
         }
         for member in entries {
-            let (id, budget) = (member.server, cold::burst(self.settings.routers) * self.random());
+            let (id, budget) = (member.server, self.random());
             // A restart under the same id is a new, cold process: nothing known of the old one holds.
             if self.servers.get(&id).is_none_or(|s| s.member.started != member.started) {
                 self.servers.insert(id, Server { budget, ..Server::default() });
@@ -582,17 +582,17 @@
         self.want(end.request, first);
         // Later than twice the shortest aim nobody waits for it.
         let (late, kept_waiting) = (self.aim * 2, !self.queue.is_empty());
-        let (silent, dial) = (self.silent(), self.settings.connect_timeout);
+        let silent = self.silent();
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let ending = s.ending(end, sent, late);
         // A zone that is out of reach says nothing of the rest of the fleet, nor of its own servers.
         let zone = self.zones.entry(s.member.zone).or_default();
-        if !s.origin && end.shows_a_way(dial) {
-            zone.answered();
-        }
+        zone.heard(!s.origin && end.shows_life());
         let lost = !s.origin && zone.is_lost(now, silent);
-        let refused = f64::from(u8::from(end.verdict == Verdict::ConnectFailed && !lost));
-        self.unconnected += (refused - self.unconnected) / CONNECT_MEMORY;
+        // A server that refused connections and answers now has too few; one that says nothing more is gone.
+        s.refused += u32::from(end.verdict == Verdict::ConnectFailed && !lost);
+        let full = if end.shows_life() { std::mem::take(&mut s.refused) } else { 0 };
+        self.unconnected += (f64::from(full.min(1)) - self.unconnected) / CONNECT_MEMORY;
         let sample = Sample { now, sent, ending, out_at_send: s.gate.out(), kept_waiting };
         s.gate.ended(&sample);
         let good = matches!(end.verdict, Verdict::Served | Verdict::Miss);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -296,14 +296,10 @@
         matches!(self.verdict, Verdict::Timeout | Verdict::Reset | Verdict::Cancelled)
     }
 
-    /// Whether something came back from the server's machine, be it that nobody listens there: a way to it exists.
-    /// A machine that is cut off says nothing, and its connections never come up.
-    pub fn shows_a_way(&self, connect_timeout: Micros) -> bool {
-        match self.verdict {
-            Verdict::Timeout | Verdict::Cancelled | Verdict::Moot => false,
-            Verdict::ConnectFailed => self.elapsed < connect_timeout / 2,
-            _ => true,
-        }
+    /// Whether the server's process said something, be it that it would not. A refused connection may be that of a
+    /// process that is gone, or of one that holds too many.
+    pub fn shows_life(&self) -> bool {
+        matches!(self.verdict, Verdict::Served | Verdict::Miss | Verdict::Full | Verdict::Error)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,6 +140,8 @@
     /// The latest send that it answered well.
     pub answered: Micros,
     pub failures: u32,
+    /// Connections that it refused since it last said something.
+    pub refused: u32,
     pub evictions: u32,
     pub evicted_until: Micros,
     /// Sends this router may still make to a cold server.
