--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -297,3 +297,14 @@
     assert_eq!(planted.status.code(), Some(1), "{}", err(&planted));
     assert!(out(&planted).contains("shrunk to no fault in "), "{}", out(&planted));
 }
+
+/// Forty proxies on the three days on which fleets break: the rules and what the scenario expects are kept.
+#[rstest]
+#[case("fleet_zone")]
+#[case("fleet_join")]
+#[case("fleet_herd")]
+fn a_fleet_keeps_the_rules(#[case] name: &str) {
+    let file = root().join("scenarios").join(format!("{name}.toml"));
+    let output = lab(&["run", &file.to_string_lossy()]);
+    assert_eq!(output.status.code(), Some(0), "{}{}", out(&output), err(&output));
+}
