--- a/crates/limits/src/domain.rs
+++ b/crates/limits/src/domain.rs
@@ -17,14 +17,14 @@
 //! domains lost, all are used); suspicion by accrued silence, Hayashibara and others, "The phi accrual failure
 //! detector" (2004).
 
-use crate::Micros;
+use crate::{backoff, Micros};
 
 /// Distinct nodes that have to be silent. At one timeout in twenty among healthy ones, four in a row are chance
 /// once in 160,000 times.
 pub const NODES: usize = 4;
-/// The first pause between two tries of a lost domain, in us, and its doublings at most.
+/// The first and the longest pause between two tries of a lost domain, in us, on the mean.
 const TRY: Micros = 500_000;
-const DOUBLINGS: u32 = 3;
+const LONGEST: Micros = 4_000_000;
 
 /// See the file's comment.
 #[derive(Clone, Debug, Default)]
@@ -41,7 +41,7 @@
     /// A node of it is asked. `draw` from 0 to 1 spreads the tries of many proxies, if it is lost by then.
     pub fn sent(&mut self, now: Micros, node: u64, patience: Micros, draw: f64) {
         if self.is_lost(now, patience) {
-            let pause = TRY << self.tries.min(DOUBLINGS);
+            let pause = backoff(TRY, self.tries, LONGEST);
             self.next = now + (pause as f64 * (0.5 + draw)) as Micros;
             self.tries += 1;
         }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`throughput`] | what more concurrency brings | a busy way to a thing that changes its speed |
 //! | [`codel`] | the age of what waits | the queue before a limit |
 //! | [`bucket`] | a rate | quotas, trials, anything with a known rate |
+//! | [`backoff`] | the failures in a row | whatever many proxies may try again |
 //! | [`budget`] | a part of the first attempts | repeats, second copies, clients' marked retries |
 //! | [`popular`] | nothing: it counts keys | ordering what waits |
 //! | [`cold`] | work over any window | a server that has just started |
@@ -29,6 +30,7 @@
 #![forbid(unsafe_code)]
 
 pub mod aimd;
+pub mod backoff;
 pub mod bucket;
 pub mod budget;
 pub mod codel;
@@ -47,6 +49,7 @@
 pub mod vegas;
 
 pub use aimd::Aimd;
+pub use backoff::backoff;
 pub use bucket::Bucket;
 pub use budget::{Budget, Extra};
 pub use codel::{Law, Queue};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,7 @@
 use crate::servers::Servers;
 pub use crate::state::shares;
 use crate::state::*;
-use limits::{cold, Bucket, Budget, Domain, Extra, Ledger, Limit, Popular, Sample};
+use limits::{backoff, cold, Bucket, Budget, Domain, Extra, Ledger, Limit, Popular, Sample};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Candidates a key is spread over (d); 2 makes the shares of Eq. 7 as sharp as they get.
@@ -36,9 +36,9 @@
 const PRIOR_SAMPLES: f64 = 8.0;
 /// Prior of every squared coefficient of variation: Poisson arrivals, exponential service.
 const PRIOR_SCV: f64 = 1.0;
-/// First stay of an evicted server outside, in us, and the most doublings of it.
+/// First stay of an evicted server outside, in us, and the longest.
 const EVICT: Micros = 500_000;
-const EVICT_DOUBLINGS: u32 = 4;
+const EVICT_LONGEST: Micros = 8_000_000;
 /// Failures in a row that evict; one that shows a dead process counts as this many.
 const FAILURES: u32 = 3;
 /// Further attempts and trials of evicted servers, as parts of the requests, and the burst of them.
@@ -169,9 +169,9 @@
     fn members(&mut self, now: Micros, form: ListForm, entries: Vec<Member>, out: &mut Vec<Action>) {
         if form == ListForm::Failed {
             // Discovery is one small service for all routers: back off, spread by the seed.
-            let after = (ASK_AGAIN << self.failed_calls.min(6)).min(self.settings.ask_within);
+            let span = backoff(ASK_AGAIN, self.failed_calls, self.settings.ask_within);
+            let after = (span as f64 * (0.5 + self.random())) as Micros;
             self.failed_calls += 1;
-            let after = (after as f64 * (0.5 + self.random())) as Micros;
             return out.extend(self.settings.must_subscribe.then_some(Action::Timer { after, token: ASK }));
         }
         self.failed_calls = 0;
@@ -611,8 +611,8 @@
         if s.failures >= FAILURES {
             // Failing or vanished, with its last report and its keys: out for a while, tried, out for longer.
             s.failures = FAILURES - 1;
-            s.evicted_until = now + ((EVICT << s.evictions) as f64 * jitter) as Micros;
-            s.evictions = (s.evictions + 1).min(EVICT_DOUBLINGS);
+            s.evicted_until = now + (backoff(EVICT, s.evictions, EVICT_LONGEST) as f64 * jitter) as Micros;
+            s.evictions += 1;
         }
         if s.origin {
             self.origin_time.add(end.elapsed as f64);
--- a/src/core/watch.rs
+++ b/src/core/watch.rs
@@ -5,7 +5,8 @@
 //! they may ask of it together is divided by how many they are.
 
 use crate::interface::Micros;
-use crate::state::mix;
+use crate::state::{mix, unit};
+use limits::backoff;
 
 /// Discovery says something every 2 s; this long a silence means that the watch is dead.
 const SILENCE: Micros = 4_500_000;
@@ -45,11 +46,10 @@
         if let Some(at) = self.due {
             return at;
         }
-        let over = (self.spread << self.failed.min(16)).min(LONGEST.max(4 * self.spread));
+        let over = backoff(self.spread, self.failed, LONGEST.max(4 * self.spread));
         self.failed += 1;
         self.rng = mix(self.rng.wrapping_add(1));
-        let jitter = (self.rng >> 11) as f64 / (1u64 << 53) as f64;
-        let at = now + LEAST + (over as f64 * jitter) as Micros;
+        let at = now + LEAST + (over as f64 * unit(self.rng)) as Micros;
         self.due = Some(at);
         at
     }
