Give a cold node what its zone proved, and more as cold nodes bear it

Lines at fault (src/choice.rs, refresh): served_rate divided what a proxy's warm nodes answer by the weight of the warm nodes of all zones, though a proxy sends to its own; it sank with what the proxy itself refused; and a node was never given more than the sure part of its warm-up, whatever it bore.

Now the rate is kept by zone and outlasts the loss of those that proved it (cold::Proven), and cold::Trust raises or cuts it by how all cold nodes together answer: 5% up for a quick answer, 20% down for a refused, late or missing one, never beyond the node's full weight. Each in-time signal comes at one times a cold node's capacity, far below the three times that bring it down.

--- a/crates/limits/src/cold.rs
+++ b/crates/limits/src/cold.rs
@@ -36,6 +36,66 @@
     1.0 + (KEPT_BACK / f64::from(proxies.max(1))).min(KEPT_BACK_EACH)
 }
 
+/// What is left of a proven rate after a step that leaves `keep` of the present one: sixteen times slower, a minute.
+const PROVEN: f64 = 1.0 / 16.0;
+
+/// What warm servers were seen to answer, a second and unit of weight. A rate that they proved stays true when less is
+/// asked of them, when more is refused, or when none of them is left.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Proven {
+    lately: f64,
+    best: f64,
+}
+
+impl Proven {
+    /// Takes in what servers of this weight answered a second; what was before keeps the part `keep`.
+    pub fn add(&mut self, served: f64, weight: f64, keep: f64) {
+        let rate = if weight > 0.0 { served / weight } else { 0.0 };
+        self.lately = keep * self.lately + (1.0 - keep) * rate;
+        self.best = self.lately.max(self.best * keep.powf(PROVEN));
+    }
+
+    /// The rate.
+    pub fn get(&self) -> f64 {
+        self.best
+    }
+}
+
+/// What an answer that comes as quickly as a warm server's adds to the trust, and what one that is refused, late or
+/// never comes leaves of it. They balance at one in five: by then a cold server says no before its queue is long.
+const GAIN: f64 = 0.05;
+const LEAVES: f64 = 0.8;
+/// The most that is trusted beyond what is sure.
+const MOST: f64 = 6.0;
+
+/// How much more than what is sure cold servers do, told from all of them together: before many proxies each is
+/// asked too rarely to be told alone. A server that is asked for more than it can do refuses and lets wait long
+/// before it falls over, so what is seen keeps the fleet on the safe side of that.
+///
+/// - At the start: only what is sure.
+/// - After silence: what it was; the servers have become warmer meanwhile.
+/// - When all answers are errors: falls to what is sure within eight answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Trust(f64);
+
+impl Default for Trust {
+    fn default() -> Self {
+        Trust(1.0)
+    }
+}
+
+impl Trust {
+    /// A request to a cold server has ended, as quickly as at a warm one or not.
+    pub fn ended(&mut self, quick: bool) {
+        self.0 = (if quick { self.0 * (1.0 + GAIN) } else { self.0 * LEAVES }).clamp(1.0, MOST);
+    }
+
+    /// The multiple of the sure capacity that is trusted, of a server that has `sure` of `full`.
+    pub fn of(&self, sure: f64, full: f64) -> f64 {
+        (self.0 * sure).min(full)
+    }
+}
+
 /// How a server warms, and what brings it down.
 #[derive(Clone, Copy, Debug)]
 pub struct Warming {
@@ -160,3 +220,51 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rate_that_was_proved_outlasts_the_loss_of_those_that_proved_it() {
+        let (mut rate, keep) = (Proven::default(), 0.95);
+        (0..200).for_each(|_| rate.add(30.0, 10.0, keep));
+        let proved = rate.get();
+        assert!((2.9..3.01).contains(&proved), "{proved}");
+        (0..30).for_each(|_| rate.add(0.0, 0.0, keep));
+        assert!((0.8..1.0).contains(&(rate.get() / proved)), "six seconds later");
+        (0..3_000).for_each(|_| rate.add(1.0, 10.0, keep));
+        assert!((0.09..0.12).contains(&rate.get()), "and is forgotten in minutes: {}", rate.get());
+    }
+
+    /// Fifty proxies before thirty cold servers, each of which answers quickly up to what it can do in a second and
+    /// turns the rest away. The proxies are sure of half of that, and would ask for three times as much.
+    #[test]
+    fn a_fleet_finds_what_cold_servers_do_and_stays_under_what_brings_them_down() {
+        const CAN: f64 = 12.0;
+        let mut proxies = vec![Trust::default(); 50];
+        let (mut most, mut last) = (0.0f64, 0.0);
+        for second in 0..20 {
+            let mut sent = [0.0; 30];
+            for (p, proxy) in proxies.iter_mut().enumerate() {
+                for s in 0..30 {
+                    // What it may send there in this second; the part of one is sent by so many proxies.
+                    let part = proxy.of(CAN / 2.0 / 50.0, 1.0);
+                    if unit(p * 977 + s * 31 + second * 7919) < part {
+                        sent[s] += 1.0;
+                        proxy.ended(sent[s] <= CAN);
+                    }
+                }
+            }
+            last = sent.iter().sum::<f64>() / 30.0;
+            most = sent.iter().fold(most, |m, s| m.max(*s));
+        }
+        assert!(most < 2.3 * CAN, "{most} a second, {CAN} can be done");
+        assert!(last > 0.6 * CAN, "{last} a second in the end");
+    }
+
+    fn unit(x: usize) -> f64 {
+        let x = (x as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        ((x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,7 @@
 use crate::servers::Servers;
 pub use crate::state::shares;
 use crate::state::*;
-use limits::{backoff, cold, Bucket, Budget, Domain, Extra, Ledger, Limit, Popular, Sample};
+use limits::{backoff, cold, Bucket, Budget, Extra, Ledger, Limit, Popular, Sample};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Candidates a key is spread over (d); 2 makes the shares of Eq. 7 as sharp as they get.
@@ -86,8 +86,7 @@
     part: f64,
     /// Hints lately; answers that warm caches gave this router, a second and unit of weight.
     hints: Moments,
-    served: f64,
-    served_rate: f64,
+    warming: cold::Trust,
     /// Requests within quota that wanted a cache lately, and those a cache answered within the aim.
     wanted: f64,
     answered: f64,
@@ -101,8 +100,7 @@
     aim: Micros,
     /// Part of the attempts that got no connection, lately.
     unconnected: f64,
-    /// Whether each zone's caches are within reach.
-    zones: BTreeMap<ZoneId, Domain>,
+    zones: BTreeMap<ZoneId, Zone>,
     /// Aside mode: the requests that wait for each key's fetch, its leader first; the queue for the origin,
     /// and how much may be out there.
     fetches: BTreeMap<Key, VecDeque<RequestId>>,
@@ -192,8 +190,7 @@
         self.refresh_terms(now);
         if form == ListForm::Cached {
             // Routers that start together must not call, or re-solve, in step.
-            let after = (self.random() * REFRESH as f64) as Micros;
-            out.push(Action::Timer { after, token: TICK });
+            out.push(Action::Timer { after: (self.random() * REFRESH as f64) as Micros, token: TICK });
             if self.settings.must_subscribe {
                 let after = (self.random() * self.settings.ask_within as f64 / 4.0) as Micros;
                 out.push(Action::Timer { after, token: ASK });
@@ -253,25 +250,25 @@
         let second = REFRESH as f64 / 1e6;
         let keep = (-(REFRESH as f64) / MEMORY).exp();
         self.split_quotas(keep.powf(MEMORY / QUOTA_MEMORY));
-        let warm: f64 = self.caches().filter(|s| !s.cold).map(|s| s.weight).sum();
-        if warm > 0.0 {
-            self.served_rate = keep * self.served_rate + (1.0 - keep) * self.served / second / warm;
+        for (id, zone) in &mut self.zones {
+            let warm = self.servers.values().filter(|s| !s.origin && !s.cold && s.member.zone == *id);
+            zone.rate.add(std::mem::take(&mut zone.served) / second, warm.map(|s| s.weight).sum(), keep);
         }
-        self.served = 0.0;
         (self.wanted, self.answered) = (self.wanted * keep, self.answered * keep);
         self.hints.decay(keep);
         self.turns.retain(|_, t| !t.queue.is_empty() || t.rest > now);
         self.origin_time.decay(keep);
         self.asked.fade(keep.powf(MEMORY / ASKED_MEMORY));
         self.origin.learn(now, self.fetching());
-        // A cold server's budget: what warm ones of its weight answer to this router (what is asked can be
-        // more than any can do), times half the multiple that brings it down; half is for chance and misses.
-        let rate = self.served_rate * (self.settings.fall_multiple / 2.0).max(1.0) * self.plan.cold();
+        // A cold server's budget: what warm ones of its zone and weight answer to this router (what is asked can
+        // be more than any can do), times half the multiple that brings it down; half is for chance and misses.
+        let times = (self.settings.fall_multiple / 2.0).max(1.0) * self.plan.cold();
         let (window, burst) = (self.settings.fall_for as f64 / 1e6, cold::burst(self.settings.routers));
         for s in self.servers.values_mut() {
             s.gaps.decay(keep);
             s.latency.decay(keep);
-            let fair = rate * s.weight;
+            let proven = self.zones.get(&s.member.zone).map_or(0.0, |z| z.rate.get());
+            let fair = proven * times * self.warming.of(s.weight, s.listed.max(s.weight));
             s.budget = (s.budget + fair * second).min((fair * window / 2.0).max(burst));
         }
         self.refresh_terms(now);
@@ -400,7 +397,7 @@
             let marked = s.avoids(key);
             let due = !marked || s.last_send.is_none_or(|t| t + TRY_MARKED <= now);
             let tried = due && s.evicted_until <= now && self.trials >= 1.0;
-            let reached = self.zones.get(&s.member.zone).is_none_or(|z| z.takes(now, self.silent()));
+            let reached = self.zones.get(&s.member.zone).is_none_or(|z| z.reach.takes(now, self.silent()));
             reached && !self.hangs(now, s) && (tried || (s.evictions == 0 && !marked))
         };
         let far = FAR.powf(self.origin.room());
@@ -472,7 +469,7 @@
         }
         s.gate.sent(now, s.gate.out() + 1);
         if !s.origin {
-            self.zones.entry(s.member.zone).or_default().sent(now, server.0, silent, draw);
+            self.zones.entry(s.member.zone).or_default().reach.sent(now, server.0, silent, draw);
         }
         self.trials -= f64::from(u8::from(s.evictions > 0 || s.avoid > 0.0)).min(self.trials);
         // A request far above the mean work draws as much more of a cold server's budget.
@@ -587,16 +584,16 @@
         let ending = s.ending(end, sent, late);
         // A zone that is out of reach says nothing of the rest of the fleet, nor of its own servers.
         let zone = self.zones.entry(s.member.zone).or_default();
-        zone.heard(!s.origin && end.shows_life());
-        let lost = !s.origin && zone.is_lost(now, silent);
+        zone.reach.heard(!s.origin && end.shows_life());
+        let lost = !s.origin && zone.reach.is_lost(now, silent);
         // A server that refused connections and answers now has too few; one that says nothing more is gone.
         s.refused += u32::from(end.verdict == Verdict::ConnectFailed && !lost);
         let full = if end.shows_life() { std::mem::take(&mut s.refused) } else { 0 };
         self.unconnected += (f64::from(full.min(1)) - self.unconnected) / CONNECT_MEMORY;
         let sample = Sample { now, sent, ending, out_at_send: s.gate.out(), kept_waiting };
         s.gate.ended(&sample);
-        let good = matches!(end.verdict, Verdict::Served | Verdict::Miss);
-        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout) && !lone && !lost;
+        let (good, lone) = (matches!(end.verdict, Verdict::Served | Verdict::Miss), lone || lost);
+        let bad = matches!(end.verdict, Verdict::Error | Verdict::Timeout) && !lone;
         if matches!(end.verdict, Verdict::Served | Verdict::Timeout) && !lone {
             s.latency.add(end.elapsed.max(0) as f64);
         }
@@ -614,6 +611,9 @@
             s.evicted_until = now + (backoff(EVICT, s.evictions, EVICT_LONGEST) as f64 * jitter) as Micros;
             s.evictions += 1;
         }
+        if s.cold && (bad || end.shows_life()) {
+            self.warming.ended(good && end.elapsed < self.long / 2);
+        }
         if s.origin {
             self.origin_time.add(end.elapsed as f64);
             self.origin.ended(&sample);
@@ -621,7 +621,7 @@
             self.failing += (f64::from(u8::from(bad)) - self.failing) / FAILING_MEMORY;
             self.retries.ended(&sample);
             self.answered += f64::from(u8::from(good && end.elapsed <= aim));
-            self.served += f64::from(u8::from(good && !s.cold));
+            zone.served += f64::from(u8::from(good && !s.cold));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! What a router keeps, as plain data with its arithmetic: nothing is decided here.
 
 use crate::interface::*;
-use limits::{Bucket, Ending, Node};
+use limits::cold::Proven;
+use limits::{Bucket, Domain, Ending, Node};
 pub use placement::{mix, unit};
 use std::collections::VecDeque;
 
@@ -176,6 +177,14 @@
     }
 }
 
+/// A zone's caches together: whether they are within reach, and what warm ones answer of late.
+#[derive(Default)]
+pub struct Zone {
+    pub reach: Domain,
+    pub served: f64,
+    pub rate: Proven,
+}
+
 #[derive(Clone, Copy)]
 pub struct Attempt {
     pub server: ServerId,
