Let what idles beside another connection to a node go soon in a large fleet

Line at fault: Pool::stale (src/core/pool.rs) let each connection of a peak idle for 10 s, whether it was the node's only one or the fourth; a hundred proxies each kept their last peak at each node.

Now one that idles beside another of its node goes after 10 s times 10 over the number of proxies (settings), 10 s at the most: up to ten proxies nothing changes, a hundred keep it for 1 s. The one used last stays for 10 s.

The core's test fails without it.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -357,7 +357,7 @@
             by_downstream: BTreeSet::new(),
             ids: HashSet::new(),
             upstream: Numbers::default(),
-            pool: Pool::new(most_connections, settings.keep_alive),
+            pool: Pool::new(most_connections, settings.keep_alive, settings.routers),
             marks: Marks::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -13,6 +13,9 @@
 
 /// How long a connection may idle. Open ones fill a node's table; a new one costs it a handshake.
 const IDLE: Micros = 10_000_000;
+/// Up to so many proxies one beside another of its node may idle as long. A node's table is shared by all: what more
+/// proxies keep for their next peak there is divided by how many they are.
+const SPARED: Micros = 10;
 /// What a node sends behind an answer has come by then; far more than the way from it takes.
 const SETTLE: Micros = 5_000;
 /// How long a connection waits for an answer that nobody wants, and how many do so at a node.
@@ -82,14 +85,17 @@
     last_turn: Turn,
     pub most: usize,
     idle_for: Micros,
+    /// How long one beside another of its node may.
+    spare_for: Micros,
 }
 
 impl Pool {
-    pub fn new(most: usize, keep_alive: Micros) -> Self {
+    pub fn new(most: usize, keep_alive: Micros, routers: u32) -> Self {
         // Well before the node's own limit: a request that crosses its closing would be a reset.
         let idle_for = IDLE.min(keep_alive * 3 / 4);
+        let spare_for = (idle_for * SPARED / Micros::from(routers.max(1))).min(idle_for);
         let (nodes, slots, idle) = (Numbers::default(), Numbers::default(), BTreeSet::new());
-        Pool { nodes, slots, idle, last_turn: 0, most, idle_for }
+        Pool { nodes, slots, idle, last_turn: 0, most, idle_for, spare_for }
     }
 
     pub fn len(&self) -> usize {
@@ -256,7 +262,12 @@
     /// Connections that have idled too long. Forgets nodes that are gone and hold nothing any more.
     pub fn stale(&mut self, now: Micros) -> Vec<ConnectionId> {
         self.nodes.retain(|_, n| n.phase != Phase::Gone || !n.waiting.is_empty() || n.held > 0);
-        let stale = self.idle.iter().take_while(|(since, _)| now - since >= self.idle_for);
+        let node = |c: &ConnectionId| self.nodes.get(&self.slots.get(c)?.server);
+        // The one used last is beside no other.
+        let spare =
+            |c: &ConnectionId| node(c).is_some_and(|n| n.idle.last().is_some_and(|(last, _)| last != c));
+        let aged = self.idle.iter().take_while(|(since, _)| now - since >= self.spare_for);
+        let stale = aged.filter(|(since, c)| now - since >= self.idle_for || spare(c));
         in_order(stale.map(|(_, c)| *c))
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -25,8 +25,13 @@
     }
 
     fn with(repeat: Repeat) -> Proxy {
+        Proxy::of_fleet(1, repeat)
+    }
+
+    fn of_fleet(routers: u32, repeat: Repeat) -> Proxy {
         let class = Class { limit: 2_000 * MS, repeat, ..Class::default() };
         let settings = Settings {
+            routers,
             classes: vec![class],
             may_copy: true,
             period: 5 * MS,
@@ -209,6 +214,22 @@
     assert_eq!(p.core.open_connections(), 0);
 }
 
+/// Guards against tables filled by what a hundred proxies keep for their next peak: beside the connection used last,
+/// one idles for a part of the time that a few proxies keep it.
+#[test]
+fn what_idles_beside_another_makes_room_soon_in_a_large_fleet() {
+    for (routers, after_two, after_six) in [(3, 3, 3), (16, 3, 3), (100, 1, 1), (200, 1, 1)] {
+        let mut p = Proxy::of_fleet(routers, Repeat::Retryable);
+        let up: Vec<_> = (0..3).map(|_| dialled(&p.ask(1_000 * MS)).expect("a dial")).collect();
+        up.iter().for_each(|c| drop(p.input(Input::Connected(*c))));
+        up.iter().for_each(|c| drop(p.input(Input::Replied(*c, served()))));
+        p.pass(2_000 * MS);
+        assert_eq!(p.core.open_connections(), after_two, "{routers} proxies");
+        p.pass(4_000 * MS);
+        assert_eq!(p.core.open_connections(), after_six, "{routers} proxies");
+    }
+}
+
 /// Guards against a silent discovery: the watch is opened anew from the last revision.
 #[test]
 fn a_silent_watch_is_opened_anew() {
