--- a/crates/limits/src/cold.rs
+++ b/crates/limits/src/cold.rs
@@ -247,12 +247,12 @@
         for second in 0..20 {
             let mut sent = [0.0; 30];
             for (p, proxy) in proxies.iter_mut().enumerate() {
-                for s in 0..30 {
+                for (s, sent) in sent.iter_mut().enumerate() {
                     // What it may send there in this second; the part of one is sent by so many proxies.
                     let part = proxy.of(CAN / 2.0 / 50.0, 1.0);
                     if unit(p * 977 + s * 31 + second * 7919) < part {
-                        sent[s] += 1.0;
-                        proxy.ended(sent[s] <= CAN);
+                        *sent += 1.0;
+                        proxy.ended(*sent <= CAN);
                     }
                 }
             }
