--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,8 +260,8 @@
         self.origin_time.decay(keep);
         self.asked.fade(keep.powf(MEMORY / ASKED_MEMORY));
         self.origin.learn(now, self.fetching());
-        // A cold server's budget: what warm ones of its zone and weight answer here (what is asked can be more
-        // than any can do), times half the multiple that brings it down; half is for chance and misses.
+        // A cold server's budget: what warm ones of its zone and weight answer here (what is asked can be
+        // more than any can do), times half the multiple that brings it down; half is for chance and misses.
         let times = (self.settings.fall_multiple / 2.0).max(1.0) * self.plan.cold();
         let (window, burst) = (self.settings.fall_for as f64 / 1e6, cold::burst(self.settings.routers));
         for s in self.servers.values_mut() {
