Let a request of a large fleet wait for a busy connection before another is dialled

A proxy holds one or two connections to a node; a second request that finds them busy dialled at once, though an answer is due in a median of 130 to 240 ms.

Line at fault: Core::place (src/core/mod.rs) dialled for each request that found nothing idle.

Now it waits for a connection that is up to get free for 1.2 ms times the proxies in the settings, half the dial time-out at the most (a hundred: 120 ms), and only then dials. Up to four proxies dial within a tick, as before.

The core's test fails without the change.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -251,6 +251,8 @@
     /// It has waited for a connection for the dial time-out.
     Unconnected(UpstreamId),
     Undialled(ConnectionId),
+    /// A request may have waited long enough for a connection of this node that is busy.
+    Dial(ServerId),
     /// A connection has waited long enough for an answer that nobody wants.
     Lingered(ConnectionId),
     /// A stream's downstream has given up.
@@ -357,7 +359,12 @@
             by_downstream: BTreeSet::new(),
             ids: HashSet::new(),
             upstream: Numbers::default(),
-            pool: Pool::new(most_connections, settings.keep_alive, settings.routers),
+            pool: Pool::new(
+                most_connections,
+                settings.keep_alive,
+                settings.connect_timeout,
+                settings.routers,
+            ),
             marks: Marks::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
@@ -495,6 +502,11 @@
                         self.end(now, id, Verdict::ConnectFailed, None);
                     }
                 }
+                Due::Dial(server) => {
+                    if self.pool.is_short(server) {
+                        self.dial(now, server);
+                    }
+                }
                 Due::Undialled(c) => {
                     if self.pool.is_dialling(c) {
                         self.close(c);
@@ -766,7 +778,10 @@
             u.turn = Some(turn);
         }
         if short {
-            self.dial(now, server);
+            match self.pool.before_dial(server) {
+                0 => self.dial(now, server),
+                wait => self.wheel.insert(now + wait, Due::Dial(server)),
+            }
         }
         self.wheel.insert(sent + self.settings.connect_timeout, Due::Unconnected(id));
     }
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -16,6 +16,10 @@
 /// Up to so many proxies one beside another of its node may idle as long. A node's table is shared by all: what more
 /// proxies keep for their next peak there is divided by how many they are.
 const SPARED: Micros = 10;
+/// How long a request waits for one of its node's connections to get free before another is dialled, for each proxy
+/// of the fleet, in us; half the dial time-out at the most. A handshake costs a busy node about as much as a request,
+/// and a hundred proxies ask for many; a few proxies, whose requests are many, wait no longer than a tick.
+const BEFORE_DIAL: Micros = 1_200;
 /// What a node sends behind an answer has come by then; far more than the way from it takes.
 const SETTLE: Micros = 5_000;
 /// How long a connection waits for an answer that nobody wants, and how many do so at a node.
@@ -87,15 +91,18 @@
     idle_for: Micros,
     /// How long one beside another of its node may.
     spare_for: Micros,
+    /// How long a request waits for a connection that is up.
+    before_dial: Micros,
 }
 
 impl Pool {
-    pub fn new(most: usize, keep_alive: Micros, routers: u32) -> Self {
+    pub fn new(most: usize, keep_alive: Micros, dial_timeout: Micros, routers: u32) -> Self {
         // Well before the node's own limit: a request that crosses its closing would be a reset.
         let idle_for = IDLE.min(keep_alive * 3 / 4);
         let spare_for = (idle_for * SPARED / Micros::from(routers.max(1))).min(idle_for);
         let (nodes, slots, idle) = (Numbers::default(), Numbers::default(), BTreeSet::new());
-        Pool { nodes, slots, idle, last_turn: 0, most, idle_for, spare_for }
+        let before_dial = (BEFORE_DIAL * Micros::from(routers)).min(dial_timeout / 2);
+        Pool { nodes, slots, idle, last_turn: 0, most, idle_for, spare_for, before_dial }
     }
 
     pub fn len(&self) -> usize {
@@ -149,6 +156,21 @@
         Some((self.last_turn, node.waiting.len() > node.dialling))
     }
 
+    /// How long to wait for a connection that is up before another is dialled.
+    pub fn before_dial(&self, server: ServerId) -> Micros {
+        let up = self.nodes.get(&server).map_or(0, |n| n.held - n.dialling - n.lingering);
+        if up > 0 {
+            self.before_dial
+        } else {
+            0
+        }
+    }
+
+    /// Whether more wait for a connection than are dialled.
+    pub fn is_short(&self, server: ServerId) -> bool {
+        self.nodes.get(&server).is_some_and(|n| n.waiting.len() > n.dialling)
+    }
+
     /// The upstream request whose turn it is waits no more.
     pub fn next_waiting(&mut self, server: ServerId) -> Option<UpstreamId> {
         Some(self.nodes.get_mut(&server)?.waiting.pop_first()?.1)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -230,6 +230,28 @@
     }
 }
 
+/// Guards against a handshake at a busy node for each request that finds its connection busy, a hundred proxies at once:
+/// it waits for that connection a while, and is dialled for only then. A few proxies dial within a tick.
+#[test]
+fn a_request_waits_for_a_busy_connection_before_another_is_dialled() {
+    for (routers, waits) in [(3, 5 * MS), (100, 120 * MS), (200, 125 * MS)] {
+        let mut p = Proxy::of_fleet(routers, Repeat::Retryable);
+        let first = dialled(&p.ask(1_000 * MS)).expect("nothing is up yet: a dial at once");
+        p.input(Input::Connected(first));
+        assert_eq!(dialled(&p.ask(1_000 * MS)), None, "{routers} proxies");
+        assert_eq!(dialled(&p.pass(waits - 5 * MS)), None, "{routers} proxies");
+        assert!(dialled(&p.pass(5 * MS)).is_some(), "{routers} proxies");
+
+        let mut p = Proxy::of_fleet(routers, Repeat::Retryable);
+        let first = dialled(&p.ask(1_000 * MS)).expect("a dial");
+        p.input(Input::Connected(first));
+        p.ask(1_000 * MS);
+        let effects = p.input(Input::Replied(first, served()));
+        assert!(written(&effects), "it goes out on the connection that got free");
+        assert_eq!(dialled(&p.pass(waits)), None, "and nothing is dialled for it");
+    }
+}
+
 /// Guards against a silent discovery: the watch is opened anew from the last revision.
 #[test]
 fn a_silent_watch_is_opened_anew() {
