Fetch what full caches turn away while the ledger has room to spare

Ruled out: misses as the load (they take nodes 50 ms, hits 120; a fifth of them are copies that writes voided, a tenth a first ask, a tenth live in the other zone); uneven nodes (each one turns away 28 to 55 in 100); early refusals (50 a second of them).

Lines at fault (src/choice.rs): outcome and advance refused a read that caches had no place for, whatever room the ledger had: only a miss led there.

Planners' words move from choice.rs to servers.rs, for its lines.

The module's test fails without it.

--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -142,6 +142,13 @@
         self.failing
     }
 
+    /// Whether it has room to spare for work that needs it only because something else is full: no strain, and less
+    /// out than it surely bears, whatever the limit has risen to. A fleet whose caches all turn reads away at once
+    /// sends it no more than [`TIMES`] what it usually does; what is learnt from late answers comes too late for that.
+    pub fn spares(&self, now: Micros, out: u32) -> bool {
+        self.room() >= 1.0 && self.takes(now, out) && f64::from(out) < self.bears().max(1.0)
+    }
+
     /// What the ledger surely bears of this proxy.
     fn bears(&self) -> f64 {
         (TIMES * self.usual()).max(LEAST)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -151,7 +151,7 @@
                 self.drain_origin(now, out);
                 out.push(Action::Timer { after: REFRESH, token: TICK });
             }
-            Event::Plan(plan) => self.planned(plan),
+            Event::Plan(plan) => self.plan = self.servers.planned(plan),
             Event::Timer(ASK) => out.push(Action::Subscribe),
             Event::Timer(Token(id)) => self.parked_long(now, RequestId(id), out),
             Event::Probed { server, verdict, report, .. } => {
@@ -198,22 +198,6 @@
         }
     }
 
-    /// What planners say takes the place of what they said before.
-    fn planned(&mut self, mut plan: Plan) {
-        self.servers.values_mut().for_each(|s| (s.avoid, s.solved) = (0.0, None));
-        for (id, part) in plan.takes.drain(..) {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.avoid = 1.0 - part;
-            }
-        }
-        for terms in plan.solved.drain(..) {
-            if let Some(s) = self.servers.get_mut(&terms.server) {
-                s.solved = Some(terms);
-            }
-        }
-        self.plan = plan;
-    }
-
     /// Closing on drains: at the notice and at each later outcome there nothing idle stays connected. Nor,
     /// for a part, where connections are refused: what idles is another router's refusal, and a router with a
     /// few servers has few keys' copies. A new connection costs a handshake, a lost copy a fetch.
@@ -375,7 +359,7 @@
             Some(server) => self.send(now, id, server, out),
             None => {
                 self.want(id, 0);
-                self.finish(now, id, out);
+                self.spill(now, id, out);
             }
         }
     }
@@ -533,10 +517,9 @@
         } else if mine && end.verdict == Verdict::Miss && self.settings.origin_kind.is_some() {
             self.advance(now, id, out);
         } else if mine {
-            if self.pays(now, id, end.verdict) {
-                self.advance(now, id, out);
-            } else {
-                self.finish(now, id, out);
+            match self.pays(now, id, end.verdict) {
+                true => self.advance(now, id, out),
+                false => self.spill(now, id, out),
             }
         }
         self.drain_origin(now, out);
@@ -699,6 +682,18 @@
         self.advance(now, id, out);
     }
 
+    /// A read within quota that caches turn away is fetched all the same where the origin has room to spare
+    /// and nothing waits for it. Else its answer is due.
+    fn spill(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let (origin, idle) = (self.settings.origin_kind.is_some(), self.queue.is_empty());
+        let spare = origin && idle && self.origin.spares(now, self.fetching());
+        let read = |o: &Open| !o.request.write && !o.over && self.left(o) > 0;
+        match spare && self.open.get(&id).is_some_and(read) {
+            true => self.fetch(now, id, out),
+            false => self.finish(now, id, out),
+        }
+    }
+
     /// Takes a request to the origin, or lets it wait for the same key's fetch or for a place.
     fn fetch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get_mut(&id) else { return };
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -89,6 +89,22 @@
         self.slots.iter_mut().flatten()
     }
 
+    /// Takes over what planners say of each server, in place of what they said before; the rest of it comes back.
+    pub fn planned(&mut self, mut plan: Plan) -> Plan {
+        self.values_mut().for_each(|s| (s.avoid, s.solved) = (0.0, None));
+        for (id, part) in plan.takes.drain(..) {
+            if let Some(s) = self.get_mut(&id) {
+                s.avoid = 1.0 - part;
+            }
+        }
+        for terms in plan.solved.drain(..) {
+            if let Some(s) = self.get_mut(&terms.server) {
+                s.solved = Some(terms);
+            }
+        }
+        plan
+    }
+
     /// The origins, in the order of ids.
     pub fn origins(&self) -> impl Iterator<Item = &Server> {
         self.origins.iter().filter_map(|slot| self.slots[*slot as usize].as_ref())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -497,6 +497,50 @@
     assert!(refused(&r.ask(write()).1));
 }
 
+/// A read of a key whose only cache turns it away: what is sent in the end.
+fn turned_away(r: &mut Router, request: Request) -> Option<ServerId> {
+    let (id, _) = r.ask(request);
+    server(&r.end(id, Verdict::Full, MS, vec![]))
+}
+
+/// A zone lost, the caches of the other full: the origin answered 1,300 reads a second at the pace of 500, and as many
+/// were refused each second as it could have answered besides.
+#[test]
+fn aside_a_read_that_caches_turn_away_is_fetched_while_the_origin_has_room_to_spare() {
+    let (s, entries) = aside();
+    let one = || Router::new(s.clone(), entries[3..].to_vec());
+    let read = |k| Request { key: Key(k), ..Request::default() };
+    let mut r = one();
+    assert_eq!(turned_away(&mut r, read(1)), Some(ORIGIN));
+    assert_eq!(turned_away(&mut r, read(2)), None, "one is out, and nothing is known of the origin yet");
+
+    // It answers twenty in 20 ms each, one at a time, and then takes four times as long.
+    let fetch = |r: &mut Router, time: Micros| {
+        let (id, _) = r.ask(Request { write: true, ..Request::default() });
+        r.pass(time);
+        r.end(id, Verdict::Served, time, vec![]);
+    };
+    let mut r = one();
+    (0..100).for_each(|_| fetch(&mut r, 20 * MS));
+    assert_eq!(turned_away(&mut r, read(1)), Some(ORIGIN));
+    assert_eq!(turned_away(&mut r, read(2)), Some(ORIGIN), "it bears a multiple of what is usual");
+    r.pass(S);
+    (0..40).for_each(|_| fetch(&mut r, 80 * MS));
+    assert_eq!(turned_away(&mut r, read(3)), None, "none while it is strained");
+
+    // What is over its tenant's quota is worth little, and is not fetched so.
+    let mut r = Router::new(Settings { quotas: vec![0.001], ..s.clone() }, entries[3..].to_vec());
+    let fetched = (0..20).filter(|k| {
+        let to = turned_away(&mut r, read(100 + k));
+        let id = r.sent.last().expect("a send").0;
+        if to.is_some() {
+            r.end(id, Verdict::Served, 20 * MS, vec![]);
+        }
+        to.is_some()
+    });
+    assert_eq!(fetched.count(), 5, "what a tenant may bunch");
+}
+
 /// citas-xela overload, origin slowed: every fetch was made for a request that ran out of time, and none was kept.
 #[test]
 fn aside_places_at_the_origin_go_to_those_with_time_for_its_answer() {
