Tell in the log what a whole fleet's lines have to be added up for

Now the core counts them where each comes about (Counters in src/core/mod.rs: bounded, no allocation, calls to discovery in one place) and the owner tells them with the figures every 10 s, as the line upstream: or as an object. A read that went to the ledger past full nodes and found no answer counts as refused for the origin's sake (Core::refusal).

Tests: the core's counts of a read that a full node turns away; the line as text and as JSON.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -308,9 +308,24 @@
     pub timeouts: u64,
     pub unconnected: u64,
     pub resets: u64,
-    /// Lists and changes that discovery told, and watches on it that ended.
+    /// Lists and changes that discovery told, calls to it, and watches on it that ended.
     pub lists: u64,
+    pub calls: u64,
     pub watches_ended: u64,
+    /// What nodes answered to upstream requests; `moot` were never written.
+    pub missed: u64,
+    pub turned_away: u64,
+    pub errors: u64,
+    pub moot: u64,
+    /// Sent to nodes within their cold time, and to the origin; of these reads that no node had missed.
+    pub cold: u64,
+    pub fetched: u64,
+    pub spilled: u64,
+    /// Refused, by reason as [`Refusal`] has them.
+    pub refused_full: u64,
+    pub refused_unsent: u64,
+    pub refused_origin: u64,
+    pub refused_attempts: u64,
 }
 
 /// A probe that takes longer than this tells that the node is stuck.
@@ -380,7 +395,7 @@
         };
         core.cluster(now, known, ListForm::Cached);
         core.wheel.insert(now + SWEEP, Due::Sweep);
-        core.effects.push(Effect::Watch { after: core.revision });
+        core.call(core.revision);
         core.settle(now);
         core
     }
@@ -484,7 +499,7 @@
                 // The new one counts its revisions for itself, so the whole list is asked for.
                 self.watch.moved(now);
                 self.revision = None;
-                self.effects.push(Effect::Watch { after: None });
+                self.call(None);
             }
         }
         self.settle(now);
@@ -540,7 +555,7 @@
                 }
                 Due::Rewatch => {
                     if self.watch.due(now) {
-                        self.effects.push(Effect::Watch { after: self.revision });
+                        self.call(self.revision);
                     }
                 }
             }
@@ -548,6 +563,12 @@
         }
     }
 
+    /// Calls discovery: the one place where that is counted.
+    fn call(&mut self, after: Option<u64>) {
+        self.counters.calls += 1;
+        self.effects.push(Effect::Watch { after });
+    }
+
     /// The watch has ended, or says nothing more: discovery is called again in a while.
     fn rewatch(&mut self, now: Micros) {
         let at = self.watch.ended(now);
@@ -597,7 +618,7 @@
             Action::Release { server } => self.close_idle(server),
             Action::List => {
                 self.watch.called(now);
-                self.effects.push(Effect::Watch { after: None });
+                self.call(None);
             }
             // Sockets always watch; a module that asks again has heard that the watch ended.
             Action::Subscribe => {}
@@ -682,8 +703,17 @@
         }
     }
 
-    /// Tells of a stream that has ended whoever listens.
+    /// Counts why a stream was refused, if it was, and tells of its end whoever listens.
     fn record(&mut self, now: Micros, stream: &Stream, ended: Ended) {
+        let refused = self.refusal(stream, ended);
+        let counter = match refused {
+            Some(Refusal::Full) => Some(&mut self.counters.refused_full),
+            Some(Refusal::NotSent) => Some(&mut self.counters.refused_unsent),
+            Some(Refusal::Origin) => Some(&mut self.counters.refused_origin),
+            Some(Refusal::Attempts) => Some(&mut self.counters.refused_attempts),
+            None => None,
+        };
+        counter.into_iter().for_each(|c| *c += 1);
         if !self.observed {
             return;
         }
@@ -695,7 +725,7 @@
             node: node.map(|n| n.name.clone()),
             note: stream.note,
             ended,
-            course: Course { refused: self.refusal(stream, ended), ..stream.course },
+            course: Course { refused, ..stream.course },
             time: now - stream.taken,
             at: now,
         }));
@@ -704,8 +734,10 @@
     /// Why a stream was refused, if it was.
     fn refusal(&self, stream: &Stream, ended: Ended) -> Option<Refusal> {
         let write = stream.message.value.is_some() && self.settings.origin_kind.is_some();
+        // A read may get there without a miss, where its nodes are full.
+        let asked = stream.missed || stream.server.is_some_and(|s| self.marks.is_origin(s));
         let why = match stream.attempts {
-            _ if write || stream.missed => Refusal::Origin,
+            _ if write || asked => Refusal::Origin,
             0 => Refusal::NotSent,
             _ => Refusal::Attempts,
         };
@@ -737,6 +769,12 @@
         stream.attempts += 1;
         stream.server = Some(server);
         stream.course.retried |= stream.failed;
+        if self.marks.is_origin(server) {
+            self.counters.fetched += 1;
+            self.counters.spilled += u64::from(!stream.missed && stream.message.value.is_none());
+        } else {
+            self.counters.cold += u64::from(self.marks.is_cold(server, now, self.settings.cold_for));
+        }
         let expires = timeout.map_or(stream.deadline, |t| stream.deadline.min(now + t));
         let message = stream.message.clone();
         self.counters.upstream += 1;
@@ -930,6 +968,15 @@
             return self.events.push_back(Event::Probed { server, verdict, elapsed, report });
         };
         self.marks.count(server, verdict);
+        match verdict {
+            Verdict::Miss => self.counters.missed += 1,
+            Verdict::Full => self.counters.turned_away += 1,
+            Verdict::Error => self.counters.errors += 1,
+            Verdict::Moot => self.counters.moot += 1,
+            // Counted where they come about, or by what became of their stream.
+            Verdict::Served | Verdict::Timeout | Verdict::ConnectFailed | Verdict::Reset => {}
+            Verdict::Cancelled => {}
+        }
         if let Some(asked) = self.streams.get_mut(&stream.0) {
             match verdict {
                 Verdict::Served => {
--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -123,6 +123,12 @@
         self.rows.get(&server).is_some_and(|m| m.origin)
     }
 
+    /// Whether a node is within its cold time.
+    pub fn is_cold(&self, server: ServerId, now: Micros, cold_for: Micros) -> bool {
+        let started = self.rows.get(&server).and_then(|m| m.member.started);
+        started.is_some_and(|at| now - at < cold_for)
+    }
+
     pub fn survey(
         &self,
         sights: &BTreeMap<ServerId, Sight>,
--- a/src/owner/report.rs
+++ b/src/owner/report.rs
@@ -88,9 +88,49 @@
         c.unconnected,
         c.resets,
     );
+    upstream(core);
     closed(door);
 }
 
+/// What a whole fleet's lines have to be added up for: what nodes said, what cold ones, the ledger and discovery were
+/// asked, and why streams were refused. Since the start.
+fn upstream(core: &Core) {
+    let c = core.counters;
+    info!(
+        event = "upstream",
+        missed = c.missed,
+        turned_away = c.turned_away,
+        errors = c.errors,
+        moot = c.moot,
+        cold = c.cold,
+        fetched = c.fetched,
+        spilled = c.spilled,
+        refused_unsent = c.refused_unsent,
+        refused_attempts = c.refused_attempts,
+        refused_origin = c.refused_origin,
+        refused_full = c.refused_full,
+        discovery_calls = c.calls,
+        discovery_ended = c.watches_ended,
+        discovery_lists = c.lists,
+        "upstream: missed {} turned away {} errors {} moot {}; to cold nodes {}; fetched {}, past full nodes {}; \
+         refused: unsent {} attempts {} origin {} full {}; discovery: calls {} ended {} lists {}",
+        c.missed,
+        c.turned_away,
+        c.errors,
+        c.moot,
+        c.cold,
+        c.fetched,
+        c.spilled,
+        c.refused_unsent,
+        c.refused_attempts,
+        c.refused_origin,
+        c.refused_full,
+        c.calls,
+        c.watches_ended,
+        c.lists,
+    );
+}
+
 /// Why downstreams were closed since the start, if any was.
 fn closed(door: &Door) {
     let (counts, (bytes, paused)) = (door.counts(), door.bytes());
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -157,6 +157,12 @@
     for name in ["taken", "served", "refused", "overdue", "silent", "downstreams", "connections"] {
         assert_eq!(find("figures")[name], 0, "{name}");
     }
+    let upstream = find("upstream");
+    assert_eq!(
+        (&upstream["spilled"], &upstream["cold"], &upstream["refused_origin"]),
+        (&0.into(), &0.into(), &0.into())
+    );
+    assert!(upstream["discovery_calls"].as_u64() >= Some(1), "{upstream}");
     assert_eq!((&find("ended")["streams"], &find("ended")["level"]), (&0.into(), &"INFO".into()));
     let in_text = |o: &Value| {
         assert!(o["at_ms"].is_u64() && o["module"].as_str().is_some_and(|m| m.starts_with("martenweir::")));
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -50,8 +50,12 @@
     }
 
     fn ask(&mut self, patience: Micros) -> Vec<Effect> {
+        self.ask_for(Key(7), patience)
+    }
+
+    fn ask_for(&mut self, key: Key, patience: Micros) -> Vec<Effect> {
         let (downstream, class, tenant) = (DownstreamId(1), ClassId(0), TenantId(0));
-        let (key, message) = (Key(7), Rc::new(Message::default()));
+        let message = Rc::new(Message::default());
         let (place, repeat, hint) = (0, false, None);
         self.input(Input::Stream(Ask {
             downstream,
@@ -406,6 +410,26 @@
     assert_eq!(ends, [("s-1", false, 1, 2), ("s-2", true, 1, 0)]);
 }
 
+/// What the fleet's lines of the log are added up for. A full node's read is fetched; the next one, of a key whose node
+/// is full too while a fetch is out and nothing is known of the origin, is refused after its attempt.
+#[test]
+fn what_full_nodes_turn_away_is_counted_with_where_it_went() {
+    let mut p = aside(1_000_000 * MS);
+    let full = || Reply { verdict: Verdict::Full, value: Vec::new(), ..served() };
+    let cache = dialled(&p.ask(1_000 * MS)).expect("a dial");
+    p.input(Input::Connected(cache));
+    let origin = dialled(&p.input(Input::Replied(cache, full()))).expect("a dial to the origin");
+    p.input(Input::Connected(origin));
+    p.pass(10 * MS);
+    assert!(written(&p.ask_for(Key(8), 1_000 * MS)));
+    assert_eq!(answered(&p.input(Input::Replied(cache, full()))), 1);
+    assert_eq!(answered(&p.input(Input::Replied(origin, served()))), 1);
+    let c = p.core.counters;
+    assert_eq!((c.turned_away, c.fetched, c.spilled), (2, 1, 1));
+    assert_eq!((c.refused, c.refused_attempts, c.refused_origin, c.refused_unsent), (1, 1, 0, 0));
+    assert_eq!((c.calls, c.cold, c.missed, c.errors), (1, 0, 0, 0));
+}
+
 /// A node's row outlives the node for ten minutes: one that returns by then goes on counting, later it begins anew.
 #[test]
 fn a_row_is_kept_for_a_node_that_returns_soon() {
