--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -374,12 +374,7 @@
             by_downstream: BTreeSet::new(),
             ids: HashSet::new(),
             upstream: Numbers::default(),
-            pool: Pool::new(
-                most_connections,
-                settings.keep_alive,
-                settings.connect_timeout,
-                settings.routers,
-            ),
+            pool: Pool::new(most_connections, &settings),
             marks: Marks::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -18,7 +18,7 @@
 const SPARED: Micros = 10;
 /// How long a request waits for one of its node's connections to get free before another is dialled, for each proxy
 /// of the fleet, in us; half the dial time-out at the most. A handshake costs a busy node about as much as a request,
-/// and a hundred proxies ask for many; a few proxies, whose requests are many, wait no longer than a tick.
+/// and a hundred proxies ask for many; a few proxies, whose requests are many, do not wait: that is less than a tick.
 const BEFORE_DIAL: Micros = 1_200;
 /// What a node sends behind an answer has come by then; far more than the way from it takes.
 const SETTLE: Micros = 5_000;
@@ -96,12 +96,15 @@
 }
 
 impl Pool {
-    pub fn new(most: usize, keep_alive: Micros, dial_timeout: Micros, routers: u32) -> Self {
+    pub fn new(most: usize, settings: &Settings) -> Self {
+        let proxies = Micros::from(settings.routers.max(1));
         // Well before the node's own limit: a request that crosses its closing would be a reset.
-        let idle_for = IDLE.min(keep_alive * 3 / 4);
-        let spare_for = (idle_for * SPARED / Micros::from(routers.max(1))).min(idle_for);
+        let idle_for = IDLE.min(settings.keep_alive * 3 / 4);
+        let spare_for = (idle_for * SPARED / proxies).min(idle_for);
         let (nodes, slots, idle) = (Numbers::default(), Numbers::default(), BTreeSet::new());
-        let before_dial = (BEFORE_DIAL * Micros::from(routers)).min(dial_timeout / 2);
+        let before_dial = (BEFORE_DIAL * proxies).min(settings.connect_timeout / 2);
+        // Less than a tick is nothing that could be waited for.
+        let before_dial = if before_dial < settings.period { 0 } else { before_dial };
         Pool { nodes, slots, idle, last_turn: 0, most, idle_for, spare_for, before_dial }
     }
 
