Hold what is fetched past full caches to what misses, over the whole fleet

Seen: in the lab, 200 proxies before 20 nodes. What each may have out at the ledger was at least one, so a proxy that fetches one read in two seconds might fetch ten a second once its caches are full: a floor held by each that adds up over the fleet, and late answers tell thin proxies only after seconds.

Line at fault: Ledger::spares alone decided in spill (src/choice.rs). Now a budget pays for it besides: one for each miss, three kept back (two for 200 proxies), less as the ledger's answers fail. So a fleet's fetches are at most doubled, whatever its size.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,8 @@
 const RETRY_PART: f64 = 0.2;
 const TRIAL_PART: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
+/// Reads fetched past full caches, as a part of those that missed: twice the usual fetches at most.
+const SPILL_PART: f64 = 1.0;
 /// Part of the attempts refused a connection at which all are closed after use, and how many are looked at.
 const SCARCE: f64 = 0.1;
 const CONNECT_MEMORY: f64 = 20.0;
@@ -93,6 +95,7 @@
     /// Part of the caches' outcomes that were errors or time-outs, lately.
     failing: f64,
     retries: Budget,
+    spills: Budget,
     trials: f64,
     probes: f64,
     /// The time that few answers of the caches exceed, and the shortest aim of a class.
@@ -128,6 +131,7 @@
             part,
             aim,
             retries: Budget::new(RETRY_PART, RETRY_BURST),
+            spills: Budget::new(SPILL_PART, cold::burst(settings.routers)),
             settings,
             ..Balancer::default()
         }
@@ -258,15 +262,11 @@
         self.refresh_terms(now);
     }
 
-    fn caches(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| !s.origin)
-    }
-
     fn refresh_terms(&mut self, now: Micros) {
         let truth = |s: &Server| s.reported.map_or(0.0, |at| (-((now - at) as f64) / MEMORY).exp());
         let (mut latency, mut gaps) = (Moments::default(), Moments::default());
         let (mut rho, mut known) = (RHO_PRIOR * 0.01, 0.01);
-        for s in self.caches() {
+        for s in self.servers.values().filter(|s| !s.origin) {
             latency.pool(&s.latency);
             gaps.pool(&s.gaps);
             rho += truth(s) * s.rho;
@@ -515,6 +515,7 @@
         if mine && end.finished {
             self.forget(now, id, out);
         } else if mine && end.verdict == Verdict::Miss && self.settings.origin_kind.is_some() {
+            self.spills.request(now);
             self.advance(now, id, out);
         } else if mine {
             match self.pays(now, id, end.verdict) {
@@ -600,6 +601,7 @@
         if s.origin {
             self.origin_time.add(end.elapsed as f64);
             self.origin.ended(&sample);
+            self.spills.ended(&sample);
         } else if good || bad {
             self.failing += (f64::from(u8::from(bad)) - self.failing) / FAILING_MEMORY;
             self.retries.ended(&sample);
@@ -688,7 +690,7 @@
         let (origin, idle) = (self.settings.origin_kind.is_some(), self.queue.is_empty());
         let spare = origin && idle && self.origin.spares(now, self.fetching());
         let read = |o: &Open| !o.request.write && !o.over && self.left(o) > 0;
-        match spare && self.open.get(&id).is_some_and(read) {
+        match spare && self.open.get(&id).is_some_and(read) && self.spills.take(Extra::Repeat) {
             true => self.fetch(now, id, out),
             false => self.finish(now, id, out),
         }
