Count a node's connections that are up without a subtraction that could go below none

Read again: Pool::before_dial (src/core/pool.rs) took dialled and lingering connections from those held in plain subtraction, where the slots' own change() saturates. No case was seen; the core's tests pass as before.

--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -161,7 +161,7 @@
 
     /// How long to wait for a connection that is up before another is dialled.
     pub fn before_dial(&self, server: ServerId) -> Micros {
-        let up = self.nodes.get(&server).map_or(0, |n| n.held - n.dialling - n.lingering);
+        let up = self.nodes.get(&server).map_or(0, |n| n.held.saturating_sub(n.dialling + n.lingering));
         if up > 0 {
             self.before_dial
         } else {
