Fetch a read that full nodes turn away once only, and play it against the program

Read again besides: a fetch that the origin turned away would have been tried there again at once (spill, src/choice.rs), on the budget.

Now a read that has been at the origin is not fetched past caches again.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -684,12 +684,14 @@
         self.advance(now, id, out);
     }
 
-    /// A read within quota that caches turn away is fetched all the same where the origin has room to spare
-    /// and nothing waits for it. Else its answer is due.
+    /// A read within quota that caches turn away is fetched all the same, once, where the origin has room to
+    /// spare and nothing waits for it. Else its answer is due.
     fn spill(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let (origin, idle) = (self.settings.origin_kind.is_some(), self.queue.is_empty());
         let spare = origin && idle && self.origin.spares(now, self.fetching());
-        let read = |o: &Open| !o.request.write && !o.over && self.left(o) > 0;
+        let asked = |a: &Attempt| self.servers.get(&a.server).is_some_and(|s| s.origin);
+        let first = |o: &Open| !o.over && self.left(o) > 0 && !o.attempts.iter().any(asked);
+        let read = |o: &Open| !o.request.write && first(o);
         match spare && self.open.get(&id).is_some_and(read) && self.spills.take(Extra::Repeat) {
             true => self.fetch(now, id, out),
             false => self.finish(now, id, out),
