Let the lab's example serve the few reads that are fetched past a failing node

The example of virtual_host::play expected that nothing is served where the only node answers all with errors.

--- a/crates/lab/src/virtual_host/mod.rs
+++ b/crates/lab/src/virtual_host/mod.rs
@@ -76,7 +76,8 @@
 /// use world::node::{Answer, Script, Step};
 /// use world::world::World;
 ///
-/// // One proxy, one node that answers all with errors: nothing is served, no rule is broken.
+/// // One proxy, one node that answers all with errors: only the few reads are served that the proxy fetches past
+/// // it, and no rule is broken.
 /// let world = World::builder()
 ///     .seconds(2.0)
 ///     .proxies(1)
@@ -86,7 +87,7 @@
 ///     .class(|_| {})
 ///     .build(1)?;
 /// let run = play(world, &Real, &mut |_| {}).expect("it runs");
-/// assert_eq!(run.served_worth(), 0.0);
+/// assert!(run.served_worth() < 0.15);
 /// assert!(run.rules_broken.is_empty());
 /// # Ok::<(), world::scenario::Problem>(())
 /// ```
