Ask in one place what lacks a connection, and dial none to a node that drains

Read again: whether more wait at a node than are dialled stood three times (Pool::wait, is_short and Core::broken), the readiness of a node twice, and the age of a node that decides what is cold in the module and in the rows of the survey. A request that waited for a busy connection had another dialled though its node drained meanwhile: a handshake for nothing, since nothing new is written there.

Now Pool::lacking, Pool::is_ready and Member::age are the one place each, and what waits for a node that drains by its turn is ended at once and goes elsewhere. The core's test holds that (a dial before, none and an answer after); the others pass as they were.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -287,7 +287,7 @@
             s.terms = Terms { rho, service, arrival_scv, service_scv }.planned(s.solved, sure);
             s.origin = Some(s.member.kind) == self.settings.origin_kind;
             // The part of its capacity a server is sure to have: from `cold_from` up over `cold_for`.
-            let age = s.member.started.map_or(Micros::MAX, |t| (now - t).max(0));
+            let age = s.member.age(now);
             s.cold = age < self.settings.cold_for && !s.origin;
             let (from, over) = (self.settings.cold_from, age as f64 / self.settings.cold_for.max(1) as f64);
             let warmth = if s.cold { from + (1.0 - from) * over } else { 1.0 };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -512,11 +512,11 @@
                         self.end(now, id, Verdict::ConnectFailed, None);
                     }
                 }
-                Due::Dial(server) => {
-                    if self.pool.is_short(server) {
-                        self.dial(now, server);
-                    }
-                }
+                Due::Dial(server) => match self.pool.lacking(server) {
+                    Some(_) if self.pool.is_ready(server) => self.dial(now, server),
+                    Some(id) => self.end(now, id, Verdict::ConnectFailed, None),
+                    None => {}
+                },
                 Due::Undialled(c) => {
                     if self.pool.is_dialling(c) {
                         self.close(c);
@@ -804,13 +804,13 @@
         if let Some(c) = self.pool.take(server, now) {
             return self.begin(now, c, id);
         }
-        let Some((turn, short)) = self.pool.wait(server, id) else {
+        let Some(turn) = self.pool.wait(server, id) else {
             return self.end(now, id, Verdict::ConnectFailed, None);
         };
         if let Some(u) = self.upstream.get_mut(&id) {
             u.turn = Some(turn);
         }
-        if short {
+        if self.pool.lacking(server).is_some() {
             match self.pool.before_dial(server) {
                 0 => self.dial(now, server),
                 wait => self.wheel.insert(now + wait, Due::Dial(server)),
@@ -835,8 +835,7 @@
     /// Nothing new goes to a node that is not ready.
     fn begin(&mut self, now: Micros, c: ConnectionId, id: UpstreamId) {
         let Some(u) = self.upstream.get_mut(&id) else { return };
-        let (server, ready) =
-            (u.server, self.pool.nodes.get(&u.server).is_some_and(|n| n.phase == Phase::Ready));
+        let (server, ready) = (u.server, self.pool.is_ready(u.server));
         if u.expires <= now || !ready {
             let verdict = if ready { Verdict::Moot } else { Verdict::ConnectFailed };
             self.end(now, id, verdict, None);
@@ -894,8 +893,7 @@
             self.counters.unconnected += u64::from(verdict == Verdict::ConnectFailed);
             self.end(now, id, verdict, None);
         } else if dialling {
-            let short = self.pool.nodes.get(&server).filter(|n| n.waiting.len() > n.dialling);
-            if let Some(id) = short.and_then(|n| n.waiting.first_key_value().map(|(_, id)| *id)) {
+            if let Some(id) = self.pool.lacking(server) {
                 self.counters.unconnected += 1;
                 self.end(now, id, Verdict::ConnectFailed, None);
             }
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -150,30 +150,34 @@
         Some(c)
     }
 
-    /// Lets an upstream request wait for a connection: its turn, and whether another should be dialled. `None`
-    /// where the node is not known.
-    pub fn wait(&mut self, server: ServerId, id: UpstreamId) -> Option<(Turn, bool)> {
+    /// Lets an upstream request wait for a connection: its turn; `None` where the node is not known.
+    pub fn wait(&mut self, server: ServerId, id: UpstreamId) -> Option<Turn> {
         let node = self.nodes.get_mut(&server)?;
         self.last_turn += 1;
         node.waiting.insert(self.last_turn, id);
-        Some((self.last_turn, node.waiting.len() > node.dialling))
+        Some(self.last_turn)
+    }
+
+    /// The first of those that wait, if more wait for a connection than are dialled.
+    pub fn lacking(&self, server: ServerId) -> Option<UpstreamId> {
+        let node = self.nodes.get(&server).filter(|n| n.waiting.len() > n.dialling)?;
+        node.waiting.first_key_value().map(|(_, id)| *id)
+    }
+
+    pub fn is_ready(&self, server: ServerId) -> bool {
+        self.nodes.get(&server).is_some_and(|n| n.phase == Phase::Ready)
     }
 
     /// How long to wait for a connection that is up before another is dialled.
     pub fn before_dial(&self, server: ServerId) -> Micros {
-        let up = self.nodes.get(&server).map_or(0, |n| n.held.saturating_sub(n.dialling + n.lingering));
-        if up > 0 {
+        let up = self.nodes.get(&server).is_some_and(|n| n.held > n.dialling + n.lingering);
+        if up {
             self.before_dial
         } else {
             0
         }
     }
 
-    /// Whether more wait for a connection than are dialled.
-    pub fn is_short(&self, server: ServerId) -> bool {
-        self.nodes.get(&server).is_some_and(|n| n.waiting.len() > n.dialling)
-    }
-
     /// The upstream request whose turn it is waits no more.
     pub fn next_waiting(&mut self, server: ServerId) -> Option<UpstreamId> {
         Some(self.nodes.get_mut(&server)?.waiting.pop_first()?.1)
--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -125,8 +125,7 @@
 
     /// Whether a node is within its cold time.
     pub fn is_cold(&self, server: ServerId, now: Micros, cold_for: Micros) -> bool {
-        let started = self.rows.get(&server).and_then(|m| m.member.started);
-        started.is_some_and(|at| now - at < cold_for)
+        self.rows.get(&server).is_some_and(|m| m.member.age(now) < cold_for)
     }
 
     pub fn survey(
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,11 @@
     pub fn ready(server: ServerId) -> Self {
         Member { server, weight: 1.0, ..Member::default() }
     }
+
+    /// How long ago it started.
+    pub fn age(&self, now: Micros) -> Micros {
+        self.started.map_or(Micros::MAX, |t| (now - t).max(0))
+    }
 }
 
 /// A request taken from a client.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -259,6 +259,10 @@
         let effects = p.input(Input::Replied(first, served()));
         assert!(written(&effects), "it goes out on the connection that got free");
         assert_eq!(dialled(&p.pass(waits)), None, "and nothing is dialled for it");
+        p.ask(1_000 * MS);
+        p.input(Input::Cluster(Some(list(Phase::Draining, 2))));
+        let effects = p.pass(waits);
+        assert_eq!((dialled(&effects), answered(&effects)), (None, 1), "nor at a node that drains by now");
     }
 }
 
