--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -33,9 +33,10 @@
 
 use crate::{rest::Rest, Ending, Limit, Micros, Sample};
 
-/// Out at the start: of one proxy at the most, and of a fleet together, as long as that leaves one to each. Thin
-/// proxies keep what they start with for long: one with an answer a second knows no best time for ten.
+/// Out at the start.
 pub const START: f64 = 4.0;
+/// And of a fleet together, as long as that leaves one to each. Thin proxies keep what they start with for long: one
+/// with an answer a second knows no best time for ten.
 pub const FLEET: f64 = 16.0;
 /// What may be out at least, unless more is usual: up to one, so that a ledger that was out of reach for a
 /// while is found again at once. Under one it rests between two.
