Call discovery anew before what a silent watch missed counts as told

Cause: src/core/watch.rs. All watches fall silent in one moment (273 at 0.02 s). Each proxy noticed after 4.5 s, then waited 0.3 s and up to 20 ms times the proxies of the fleet: 5.5 s at 273, 6.4 s at 321. What a silent watch misses counts as told 6 s after its last word, and the rule leaves 2.5 s more, so whoever called after 10.03 s still sent to the 54 nodes that drained from 7.48 s on. Counted over the fleet: of 273 calls 14 came in the second from 10 s on, of 321 64 from 10 s on; each call was answered at once with the list. Ruled out: a slow discovery (no call ended, every list came within the same tick), lists held back by the owner's queue, sends after the list had come (the last byte is looked at again right before it is written), pauses.

Change: a watch that stands and misses a beat and a half (3 s) is dead; it is called again by 6 s after its last word, spread over what is left of that. Where lists are pushed to an agent beside the proxy, which answers at once and at no cost to others, a call is never put off by more than 2 s. A call that discovery has not answered yet keeps its 4.5 s, and repeated failures of a shared discovery back off as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -381,7 +381,7 @@
             actions: Vec::new(),
             last_id: 0,
             revision: Some(known.revision),
-            watch: Watch::new(now, settings.routers, seed),
+            watch: Watch::new(now, settings.routers, !settings.must_subscribe, seed),
             told: false,
             counters: Counters::default(),
             observed: false,
