Let visits use the agenda, and the agenda nothing of visits

Cause: what becomes of a connection after an answer (Then) stood with the visits, while an answer that is due carries it: each file needed the other. Then is a word of the agenda now; the arrow is visits -> agenda. Nothing else changes.

--- a/crates/lab/src/loopback/stage/agenda.rs
+++ b/crates/lab/src/loopback/stage/agenda.rs
@@ -1,6 +1,5 @@
 //! What is due later, in the order of time; what is due at once comes in the order in which it was added.
 
-use super::visits::Then;
 use crate::loopback::socket::LinkId;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
@@ -8,6 +7,13 @@
 use world::facts::{NodeNo, TryNo};
 use world::Micros;
 
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+    Keep,
+    Finish,
+}
+
 #[derive(Debug)]
 pub enum Due {
     /// A command has crossed the network.
--- a/crates/lab/src/loopback/stage/visits.rs
+++ b/crates/lab/src/loopback/stage/visits.rs
@@ -1,7 +1,7 @@
 //! What reaches nodes and the ledger, and the ways of their answers: connections, commands, delays, and what the
 //! network loses.
 
-use super::agenda::Due;
+use super::agenda::{Due, Then};
 use super::doors::Owner;
 use super::Stage;
 use crate::host::HostError;
@@ -20,13 +20,6 @@
 use world::world::Visit;
 use world::Micros;
 
-/// What becomes of a connection after an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Then {
-    Keep,
-    Finish,
-}
-
 /// An answer that is owed.
 #[derive(Debug)]
 struct Owed {
