Let the model's order of events use the proxy, and the proxy nothing of it

Cause: how a proxy orders what waits for the ledger (Line) stood with the order of events, which makes the proxies: each file needed the other. Line stands with the proxy that follows it; the arrow is run -> proxy. limits::model::Line is where it was for all others.

--- a/crates/limits/src/model/mod.rs
+++ b/crates/limits/src/model/mod.rs
@@ -27,4 +27,5 @@
 
 pub use day::{Day, Setup, Trouble, What};
 pub use figures::{Figures, Trace};
-pub use run::{run, Line};
+pub use proxy::Line;
+pub use run::run;
--- a/crates/limits/src/model/proxy.rs
+++ b/crates/limits/src/model/proxy.rs
@@ -1,7 +1,6 @@
 //! One proxy of the model: which tries wait for which fetch, what waits for room at the ledger, and what is
 //! out there. Owns its limit; sends nothing itself.
 
-use super::run::Line;
 use crate::codel::{Law, Queue};
 use crate::{Ending, Limit, Micros, Sample};
 use std::collections::BTreeMap;
@@ -15,6 +14,28 @@
 const OUT: Micros = 1_000_000;
 const OUT_MOST: Micros = 8_000_000;
 
+/// How what waits for the ledger is ordered, and whether any is refused before its client leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    /// Whether it is ordered as the proxy does: first what has twice the usual time left, of that the
+    /// writes, then what most wait for. If not, the oldest first, or the newest under strain.
+    pub by_worth: bool,
+    /// What the controlled delay of [`crate::codel`] takes for a harmless wait and for the longest, in us.
+    pub delays: Option<(Micros, Micros)>,
+    /// Whether what has less than half the usual time of an answer left is refused at once, as it would be
+    /// asked for in vain. Of an order by worth only.
+    pub gives_up: bool,
+    /// An answer of the ledger later than this is slow, in us.
+    pub late: Micros,
+}
+
+impl Line {
+    /// As the proxy did with [`crate::aimd`]: slow is half the shortest aim.
+    pub const BEFORE: Line = Line { by_worth: true, delays: None, gives_up: false, late: 375_000 };
+    /// As it does with [`crate::ledger`]: slow is twice the shortest aim, when nobody waits any more.
+    pub const SERVICE: Line = Line { gives_up: true, late: 1_500_000, ..Line::BEFORE };
+}
+
 /// What is asked of the ledger: a key for all that wait for it, or a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Call {
--- a/crates/limits/src/model/run.rs
+++ b/crates/limits/src/model/run.rs
@@ -4,7 +4,7 @@
 use super::day::{Arrival, Day, What};
 use super::draw::{fraction, hash};
 use super::figures::{Figures, Trace};
-use super::proxy::{Call, Proxy};
+use super::proxy::{Call, Line, Proxy};
 use super::station::{self, Pressure, Station};
 use crate::{Ending, Limit, Micros};
 use std::cmp::Reverse;
@@ -22,28 +22,6 @@
 const LOOK: Micros = 10_000;
 const TENTH: Micros = 100_000;
 
-/// How what waits for the ledger is ordered, and whether any is refused before its client leaves.
-#[derive(Clone, Copy, Debug)]
-pub struct Line {
-    /// Whether it is ordered as the proxy does: first what has twice the usual time left, of that the
-    /// writes, then what most wait for. If not, the oldest first, or the newest under strain.
-    pub by_worth: bool,
-    /// What the controlled delay of [`crate::codel`] takes for a harmless wait and for the longest, in us.
-    pub delays: Option<(Micros, Micros)>,
-    /// Whether what has less than half the usual time of an answer left is refused at once, as it would be
-    /// asked for in vain. Of an order by worth only.
-    pub gives_up: bool,
-    /// An answer of the ledger later than this is slow, in us.
-    pub late: Micros,
-}
-
-impl Line {
-    /// As the proxy did with [`crate::aimd`]: slow is half the shortest aim.
-    pub const BEFORE: Line = Line { by_worth: true, delays: None, gives_up: false, late: 375_000 };
-    /// As it does with [`crate::ledger`]: slow is twice the shortest aim, when nobody waits any more.
-    pub const SERVICE: Line = Line { gives_up: true, late: 1_500_000, ..Line::BEFORE };
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Reply {
     Served,
