--- a/crates/world/src/rules/fail_back.rs
+++ b/crates/world/src/rules/fail_back.rs
@@ -65,7 +65,7 @@
         FailBack {
             multiple: r.fall_multiple,
             window: ms(r.fall_for_ms),
-            slack: SLACK * crate::world::mean_work(s),
+            slack: SLACK * s.clients.mean_work(),
             cold_from: r.cold_from,
             cold_for: seconds(r.cold_s),
             miss_part: r.cold_miss_part,
--- a/crates/world/src/scenario/mod.rs
+++ b/crates/world/src/scenario/mod.rs
@@ -376,6 +376,14 @@
     }
 }
 
+impl Clients {
+    /// Work of a request that hits, on the mean, in microseconds of a standard core.
+    pub fn mean_work(&self) -> f64 {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        self.classes.iter().map(|c| c.share / shares * c.work_ms * 1e3).sum()
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ClientClass {
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -125,12 +125,6 @@
     news: Vec<News>,
 }
 
-/// Work of a request that hits, on the mean, in microseconds of a standard core.
-pub fn mean_work(s: &Scenario) -> f64 {
-    let shares: f64 = s.clients.classes.iter().map(|c| c.share).sum();
-    s.clients.classes.iter().map(|c| c.share / shares * c.work_ms * 1e3).sum()
-}
-
 impl World {
     pub fn builder() -> Builder {
         Builder::default()
@@ -492,7 +486,7 @@
 
     fn add_node(&mut self, group: &NodeGroup, hall: u16, address: Option<u32>) -> NodeNo {
         let no = NodeNo(self.nodes.len() as u32);
-        let limits = Limits::new(&self.scenario.rules, mean_work(&self.scenario));
+        let limits = Limits::new(&self.scenario.rules, self.scenario.clients.mean_work());
         let mut rng = stream(self.seed, "node", u64::from(no.0));
         let machine = Machine::draw(group, limits, &mut rng);
         let kind_no = self.kinds.iter().position(|k| *k == group.kind).unwrap_or(0) as u16;
