Let the main port's words use the protocol, and the protocol no words

Cause: Plain, the main port's protocol, stood beside the trait though it is all of Vocabulary, whose commands are told in the trait's terms. It stands with the words now; the arrow is vocabulary -> protocol. Nothing else changes.

--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -8,15 +8,10 @@
 //!
 //! [`Link`]: super::downstream::Link
 
-use super::vocabulary::Vocabulary;
 use crate::codec::resp;
 use crate::core::{Answer, Ask, DownstreamId};
-use std::rc::Rc;
 use std::time::Duration;
 
-/// Streams that one downstream of the main port may have open.
-const STREAMS: usize = 16;
-
 /// A command as a local reply or a stream.
 #[derive(Debug)]
 pub enum Parsed {
@@ -81,20 +76,6 @@
     fn written(&mut self) {}
 }
 
-/// The main port's: a command, a stream.
-#[derive(Debug)]
-pub struct Plain(pub Rc<Vocabulary>);
-
-impl Protocol for Plain {
-    fn streams(&self) -> usize {
-        STREAMS
-    }
-
-    fn take(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
-        array(bytes, |command, _| self.0.parse(downstream, place, command))
-    }
-}
-
 /// The first RESP array of `bytes`, handed to `take` with its length.
 pub fn array(bytes: &[u8], take: impl FnOnce(Vec<Vec<u8>>, usize) -> Parsed) -> Option<(usize, Parsed)> {
     match resp::command(bytes) {
--- a/src/net/vocabulary.rs
+++ b/src/net/vocabulary.rs
@@ -1,7 +1,8 @@
 //! The words of a command that asks for one thing: the form of the main port, which other ports share for
-//! their reads. Names become positions in the settings, and what is wrong is told as a local reply.
+//! their reads. Names become positions in the settings, and what is wrong is told as a local reply. [`Plain`] is
+//! the main port's protocol, which speaks nothing else.
 
-use super::protocol::{error, Parsed};
+use super::protocol::{array, error, Parsed, Protocol};
 use crate::codec::discovery;
 use crate::core::{Ask, DownstreamId, Message};
 use crate::interface::*;
@@ -9,6 +10,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Streams that one downstream of the main port may have open.
+const STREAMS: usize = 16;
 /// The longest `d` that makes sense, in ms: an hour.
 const LONGEST: f64 = 3.6e6;
 
@@ -93,3 +96,17 @@
         })
     }
 }
+
+/// The main port's: a command, a stream.
+#[derive(Debug)]
+pub struct Plain(pub Rc<Vocabulary>);
+
+impl Protocol for Plain {
+    fn streams(&self) -> usize {
+        STREAMS
+    }
+
+    fn take(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
+        array(bytes, |command, _| self.0.parse(downstream, place, command))
+    }
+}
