--- a/src/commands/checkaddr.rs
+++ b/src/commands/checkaddr.rs
@@ -7,10 +7,14 @@
 
 pub(super) const USAGE: &str = "martenweir checkaddr FILE ADDRESS";
 
+/// Prints allow or deny, as FILE has it for a caller at ADDRESS
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
+    /// The file of features with the lists: allow, deny
     #[arg(allow_hyphen_values = true)]
     file: String,
+    /// The caller's IP address, without a port
     #[arg(allow_hyphen_values = true)]
     address: String,
 }
--- a/src/commands/figurestest.rs
+++ b/src/commands/figurestest.rs
@@ -18,8 +18,11 @@
 const REFUSAL: Duration = Duration::from_millis(100);
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Sends one of each figure where FILE says, or to standard error
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
+    /// The file of features with the figures' target and form [default: statsd to standard error]
     #[arg(allow_hyphen_values = true)]
     file: Option<String>,
 }
--- a/src/commands/mget.rs
+++ b/src/commands/mget.rs
@@ -13,11 +13,14 @@
 /// The longest line of an answer that is no value.
 const LINE: u64 = 4096;
 
+/// Asks the multi-get port at ADDRESS for all these reads at once; fails unless each brings its value
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
+    /// Host and port of the multi-get port
     #[arg(allow_hyphen_values = true)]
     address: String,
-    /// The words of all reads, as they are.
+    /// The reads, each CACHE.GET KEY ID PROPERTIES, sent as they are; d=MS among the properties is its patience
     #[arg(required = true, trailing_var_arg = true, allow_hyphen_values = true)]
     reads: Vec<String>,
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,7 +5,8 @@
 //! own program. It takes over the process (signals, the log), so it is nothing to call beside other work.
 //!
 //! Words, messages and exit statuses are what operators and scripts know and must stay. A usage error is told
-//! like any other: in one message on standard error, with exit status 1.
+//! like any other: in one message on standard error, with exit status 1. Help that is asked for goes to standard
+//! output, with exit status 0: clap makes it of the comments on the options, of which each has one line.
 
 mod checkaddr;
 mod figurestest;
@@ -22,7 +23,7 @@
 use std::io::{self, Write};
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: martenweir [--check] [--conf FILE] [--log-format text|json] [CONFIG]
+const USAGE: &str = "martenweir [--check] [--conf FILE] [--log-format text|json] [CONFIG]
        martenweir mget ADDRESS CACHE.GET KEY ID PROPERTIES [CACHE.GET ...]
        martenweir tap ADDRESS [class=NAME] [tenant=NAME]
        martenweir checkaddr FILE ADDRESS
@@ -30,8 +31,9 @@
        martenweir planner --conf FILE [CONFIG]
        martenweir plan show ADDRESS [--json] [--config CONFIG]
        martenweir snmp get|walk [WHO] ADDRESS [NAME ...]
-       martenweir snmp listen [WHO] ADDRESS
-CONFIG is a JSON file; without it NODE_CONFIG names it. FILE turns features on, docs/features.md lists its
+       martenweir snmp listen [WHO] ADDRESS";
+/// What a usage error says besides.
+const WORDS: &str = "CONFIG is a JSON file; without it NODE_CONFIG names it. FILE turns features on, docs/features.md lists its
 settings. --check reads both and exits. --log-format is text if not given.
 mget: asks the multi-get port at ADDRESS for all these reads at once; fails unless each brings its value.
 tap: prints a line for each sampled request that matches, as the tap port at ADDRESS tells them.
@@ -41,12 +43,18 @@
 plan show: prints the plan as the planner at ADDRESS has it.
 snmp: asks the agent at ADDRESS for objects, or prints notifications that come to ADDRESS. WHO is --community NAME,
 or --user NAME with --conf FILE or --auth sha256 --auth-pass WORDS [--priv-pass WORDS].";
+/// The form of all help: usage in the words of its errors.
+const HELP: &str = "usage: {usage}\n\n{about-with-newline}\n{all-args}";
 
 /// A subcommand is one only as the first word: a configuration may be called `tap` anywhere else.
 #[derive(Debug, Parser)]
 #[command(
     name = "martenweir",
     version,
+    about = "The proxy; with a subcommand a tool for it, whose options `martenweir SUBCOMMAND --help` lists",
+    override_usage = USAGE,
+    help_template = HELP,
+    propagate_version = true,
     no_binary_name = true,
     args_conflicts_with_subcommands = true,
     args_override_self = true,
@@ -59,28 +67,21 @@
     command: Option<Command>,
 }
 
-// A subcommand's help is the program's.
 #[derive(Debug, Subcommand)]
 enum Command {
-    #[command(disable_help_flag = true)]
     Mget(mget::Options),
-    #[command(disable_help_flag = true)]
     Tap(tap::Options),
-    #[command(disable_help_flag = true)]
     Checkaddr(checkaddr::Options),
-    #[command(disable_help_flag = true)]
     Figurestest(figurestest::Options),
-    #[command(disable_help_flag = true)]
     Planner(planner::Options),
-    #[command(disable_help_flag = true, disable_help_subcommand = true)]
+    #[command(disable_help_subcommand = true)]
     Plan(plan::Options),
-    #[command(disable_help_flag = true)]
     Snmp(snmp::Options),
 }
 
 /// Runs the program with these arguments, which are those behind its name.
 pub fn main(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let arguments: Vec<OsString> = arguments.into_iter().collect();
+    let arguments = closed(arguments.into_iter().collect());
     let done = match Line::try_parse_from(&arguments) {
         Ok(Line { command: None, serve }) => return serve::run(serve),
         Ok(Line { command: Some(command), .. }) => match command {
@@ -93,7 +94,7 @@
             Command::Snmp(options) => snmp::run(&options),
         },
         Err(error) => match error.kind() {
-            ErrorKind::DisplayHelp => say(USAGE),
+            ErrorKind::DisplayHelp => say(error.render().to_string().trim_end()),
             ErrorKind::DisplayVersion => say(&format!("martenweir {}", env!("CARGO_PKG_VERSION"))),
             _ => Err(complaint(&arguments, &error)),
         },
@@ -104,6 +105,20 @@
     }
 }
 
+/// Behind the address of `mget` and `tap` all words are for the port, also those that ask for help here.
+fn closed(mut arguments: Vec<OsString>) -> Vec<OsString> {
+    let port = arguments.first().is_some_and(|word| word == "mget" || word == "tap");
+    let help = ["-h", "--help", "-V", "--version"].map(OsString::from);
+    let (address, next) = (arguments.get(1), arguments.get(2));
+    if port
+        && address.is_some_and(|word| !help.contains(word))
+        && next.is_some_and(|word| help.contains(word))
+    {
+        arguments.insert(2, "--".into());
+    }
+    arguments
+}
+
 /// What is wrong with the command line, in our words.
 fn complaint(arguments: &[OsString], error: &clap::Error) -> String {
     let usage = match arguments.first().and_then(|word| word.to_str()) {
@@ -124,7 +139,7 @@
         _ => "",
     };
     let (option, value) = (told(ContextKind::InvalidArg), told(ContextKind::InvalidValue));
-    let unknown = |option: &str| format!("unknown option {option}\n{USAGE}");
+    let unknown = |option: &str| format!("unknown option {option}\nusage: {USAGE}\n{WORDS}");
     match error.kind() {
         ErrorKind::UnknownArgument => unknown(option),
         // clap names an option together with its value: `--conf <FILE>`.
@@ -136,7 +151,7 @@
         ErrorKind::TooManyValues => unknown(&format!("{option}={value}")),
         ErrorKind::InvalidUtf8 => "an argument is no text".into(),
         // None that this command line can bring about.
-        _ => USAGE.into(),
+        _ => format!("usage: {USAGE}\n{WORDS}"),
     }
 }
 
--- a/src/commands/plan.rs
+++ b/src/commands/plan.rs
@@ -19,7 +19,9 @@
 /// Without an answer for so long it gives up.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Asks a planner for its plan
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
     #[command(subcommand)]
     command: Command,
@@ -27,12 +29,15 @@
 
 #[derive(Debug, clap::Subcommand)]
 enum Command {
-    #[command(disable_help_flag = true)]
+    /// Prints the plan as the planner at ADDRESS has it, with what it rests on
+    #[command(override_usage = USAGE, help_template = super::HELP)]
     Show {
+        /// IP address and port of the planner
         address: String,
+        /// Prints the plan as JSON, not as a table
         #[arg(long)]
         json: bool,
-        /// Its list gives the names of nodes.
+        /// A configuration whose list gives the names of nodes [default: ids as 16 hexadecimal digits]
         #[arg(long, value_name = "CONFIG")]
         config: Option<String>,
     },
--- a/src/commands/planner.rs
+++ b/src/commands/planner.rs
@@ -13,12 +13,17 @@
 
 pub(super) const USAGE: &str = "martenweir planner --conf FILE [--log-format text|json] [CONFIG]";
 
+/// Tells proxies what all of them see, on the plannerport of FILE; docs/planners.md says how
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
+    /// The file of features with plannerport
     #[arg(long, value_name = "FILE", allow_hyphen_values = true)]
     conf: String,
+    /// The form of the log, text or json
     #[arg(long, value_name = "FORMAT", default_value = "text")]
     log_format: log::Format,
+    /// The configuration, for the address and the number of proxies [default: what NODE_CONFIG names, or none]
     config: Option<String>,
 }
 
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -9,15 +9,17 @@
 
 #[derive(Debug, clap::Args)]
 pub(super) struct Options {
-    /// Reads the configuration and the file of features, and exits.
+    /// Reads the configuration and the file of features, and exits
     #[arg(long)]
     check: bool,
-    /// The file that turns features on. Its name may begin with a dash, as all that stands behind `--conf`.
+    // Its name may begin with a dash, as all that stands behind `--conf`.
+    /// The file that turns features on, docs/features.md lists its settings [default: none is on]
     #[arg(long, value_name = "FILE", allow_hyphen_values = true)]
     conf: Option<String>,
+    /// The form of the log, text or json
     #[arg(long, value_name = "FORMAT", default_value = "text")]
     log_format: log::Format,
-    /// The configuration; the last one counts.
+    /// The configuration, a JSON file; the last one counts [default: what NODE_CONFIG names]
     #[arg(value_name = "CONFIG", value_parser = name)]
     configs: Vec<String>,
 }
--- a/src/commands/snmp.rs
+++ b/src/commands/snmp.rs
@@ -26,7 +26,9 @@
 /// Instances that are asked for at a time.
 const REPETITIONS: u32 = 30;
 
+/// Asks the agent at ADDRESS for objects, or prints notifications that come to ADDRESS
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
     #[command(subcommand)]
     command: Command,
@@ -34,34 +36,42 @@
 
 #[derive(Debug, clap::Subcommand)]
 enum Command {
-    #[command(disable_help_flag = true)]
+    /// Asks for the objects of these names; fails unless all are there
+    #[command(override_usage = USAGE, help_template = super::HELP)]
     Get(Ask),
-    #[command(disable_help_flag = true)]
+    /// Asks for all objects below these names, or for the whole MIB
+    #[command(override_usage = USAGE, help_template = super::HELP)]
     Walk(Ask),
-    #[command(disable_help_flag = true)]
+    /// Prints a line for each notification that comes, and acknowledges informs
+    #[command(override_usage = USAGE, help_template = super::HELP)]
     Listen(Listen),
 }
 
-/// As whom; what is told on the command line is seen by all users of the machine, what stands in a file is not.
+// As whom; what is told on the command line is seen by all users of the machine, what stands in a file is not.
 #[derive(Debug, clap::Args)]
 struct Who {
+    /// WHO in SNMPv2c: a community [default: public]
     #[arg(long, value_name = "NAME")]
     community: Option<String>,
+    /// WHO in SNMPv3: a user, in place of a community
     #[arg(long, value_name = "NAME", conflicts_with = "community")]
     user: Option<String>,
-    /// Our own file, whose snmpuser line tells the rest.
+    /// The file of features whose snmpuser line has the user's passphrases, out of other users' sight
     #[arg(long, value_name = "FILE")]
     conf: Option<String>,
+    /// How the user is authenticated: sha224, sha256, sha384 or sha512
     #[arg(long, value_name = "HOW", default_value = "sha256")]
     auth: String,
+    /// The user's passphrase for authentication, 8 bytes or more [default: none, no authentication]
     #[arg(long, value_name = "WORDS", allow_hyphen_values = true)]
     auth_pass: Option<String>,
+    /// The user's passphrase for privacy, 8 bytes or more [default: none, no privacy]
     #[arg(long, value_name = "WORDS", allow_hyphen_values = true)]
     priv_pass: Option<String>,
-    /// The enterprise number that the agent has the MIB under.
+    /// The enterprise number that the agent has the MIB under
     #[arg(long, value_name = "NUMBER", default_value_t = ENTERPRISE)]
     enterprise: u32,
-    /// Shows names as numbers.
+    /// Shows names as numbers
     #[arg(long)]
     numeric: bool,
 }
@@ -70,7 +80,9 @@
 struct Ask {
     #[command(flatten)]
     who: Who,
+    /// IP address and UDP port of the agent
     address: SocketAddr,
+    /// Names of the MIB or numbers, as mwReady or 1.3.6.1.2.1.1.3.0 [default for walk: mwObjects]
     names: Vec<String>,
 }
 
@@ -78,8 +90,9 @@
 struct Listen {
     #[command(flatten)]
     who: Who,
+    /// IP address and UDP port to listen on
     address: SocketAddr,
-    /// Ends after so many notifications.
+    /// Ends after so many notifications [default: none, it goes on]
     #[arg(long, value_name = "NUMBER")]
     count: Option<u64>,
 }
--- a/src/commands/tap.rs
+++ b/src/commands/tap.rs
@@ -9,11 +9,15 @@
 /// More than any line of the proxy's.
 const LINE: u64 = 64 * 1024;
 
+/// Prints a line for each sampled request that matches, as the tap port at ADDRESS tells them
 #[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
 pub(super) struct Options {
+    /// Host and port of the tap port
     #[arg(allow_hyphen_values = true)]
     address: String,
-    /// Told to the proxy as they are: what they mean is its matter.
+    // Told to the proxy as they are: what they mean is its matter.
+    /// class=NAME, tenant=NAME or both [default: all that is sampled]
     #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
     filter: Vec<String>,
 }
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use serde_json::Value;
 use snmp::message::{Community, Kind, Pdu};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
 use std::net::{TcpListener, UdpSocket};
 use std::path::PathBuf;
@@ -31,6 +31,9 @@
 #[case::help(&["--help"], USAGE)]
 #[case::help_in_short(&["-h"], USAGE)]
 #[case::help_before_what_is_unknown(&["--help", "--nonsense"], USAGE)]
+#[case::help_in_short_of_a_subcommand(&["snmp", "get", "-h"], "usage: martenweir snmp get|walk [WHO] ADDRESS ")]
+#[case::help_before_what_is_unknown_to_a_subcommand(&["tap", "--help", "--nonsense"], "usage: martenweir tap ")]
+#[case::version_of_a_subcommand(&["planner", "--version"], concat!("martenweir ", env!("CARGO_PKG_VERSION"), "\n"))]
 #[case::version(&["--version"], concat!("martenweir ", env!("CARGO_PKG_VERSION"), "\n"))]
 #[case::version_in_short(&["-V"], concat!("martenweir ", env!("CARGO_PKG_VERSION"), "\n"))]
 #[case::check(&["--check", CONFIG], FINE)]
@@ -49,6 +52,87 @@
     assert!(out.starts_with(answer), "{words:?}: {out}");
 }
 
+/// What `snmp` reads for all it does.
+const SNMP: [&str; 9] = [
+    "--community <NAME>",
+    "--user <NAME>",
+    "--conf <FILE>",
+    "--auth <HOW>",
+    "--auth-pass <WORDS>",
+    "--priv-pass <WORDS>",
+    "--enterprise <NUMBER>",
+    "--numeric",
+    "<ADDRESS>",
+];
+
+/// The names that a help lists, each with its words.
+fn listed(help: &str) -> Vec<(&str, &str)> {
+    // Behind the usage and the about.
+    let lists = help.splitn(3, "\n\n").nth(2).unwrap_or_default();
+    let lines = lists.lines().filter(|line| line.starts_with("  ")).map(str::trim);
+    lines.map(|line| line.split_once("  ").unwrap_or((line, ""))).collect()
+}
+
+fn wordless(help: &str) -> Vec<&str> {
+    listed(help).into_iter().filter(|(_, words)| words.is_empty()).map(|(name, _)| name).collect()
+}
+
+/// What the subcommand reads by its help, which has words for each; adds the subcommands that it lists.
+fn read_by(words: &str, below: &mut Vec<String>) -> BTreeSet<String> {
+    let end = program().args(words.split_whitespace()).arg("--help").output().expect("it runs");
+    let (out, err) = said(&end);
+    assert_eq!((end.status.code(), err.as_str()), (Some(0), ""), "{words}");
+    let usage = format!("usage: martenweir {}", words.split(' ').next().unwrap_or_default());
+    assert!(out.starts_with(&usage), "{words}: {out}");
+    assert_eq!(wordless(&out), [""; 0], "{words}: {out}");
+    let names = listed(&out).into_iter().map(|(name, _)| name);
+    let (commands, read): (Vec<_>, Vec<_>) = names.partition(|name| name.starts_with(char::is_lowercase));
+    below.extend(commands.iter().filter(|name| **name != "help").map(|name| format!("{words} {name}")));
+    read.into_iter()
+        .filter(|name| !name.starts_with("-h, ") && !name.starts_with("-V, "))
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn help_of_each_subcommand_is_on_standard_output_and_says_what_all_that_it_reads_does() {
+    let snmp = |more: &[&'static str]| [&SNMP, more].concat();
+    let all = [
+        ("", vec!["--check", "--conf <FILE>", "--log-format <FORMAT>", "[CONFIG]..."]),
+        ("mget", vec!["<ADDRESS>", "<READS>..."]),
+        ("tap", vec!["<ADDRESS>", "[FILTER]..."]),
+        ("checkaddr", vec!["<FILE>", "<ADDRESS>"]),
+        ("figurestest", vec!["[FILE]"]),
+        ("planner", vec!["--conf <FILE>", "--log-format <FORMAT>", "[CONFIG]"]),
+        ("plan", vec![]),
+        ("plan show", vec!["--json", "--config <CONFIG>", "<ADDRESS>"]),
+        ("snmp", vec![]),
+        ("snmp get", snmp(&["[NAMES]..."])),
+        ("snmp walk", snmp(&["[NAMES]..."])),
+        ("snmp listen", snmp(&["--count <NUMBER>"])),
+    ];
+    let mut left = vec![String::new()];
+    let mut found = BTreeMap::new();
+    while let Some(words) = left.pop() {
+        let read = read_by(words.trim(), &mut left);
+        found.insert(words.trim().to_owned(), read);
+    }
+    let all = all.map(|(words, names)| (words.to_owned(), names.into_iter().map(str::to_owned).collect()));
+    assert_eq!(found, BTreeMap::from(all));
+}
+
+/// An option without words does not pass for one that has some.
+#[test]
+fn an_option_without_words_is_seen_in_its_help() {
+    let count = clap::Arg::new("count").long("count");
+    let help = |count: clap::Arg| {
+        let program = clap::Command::new("planted").help_template("usage\n\nabout\n\n{all-args}");
+        program.arg(count).arg(clap::Arg::new("file").help("The file")).render_help().to_string()
+    };
+    assert_eq!(wordless(&help(count.clone())), ["--count <count>"]);
+    assert_eq!(wordless(&help(count.help("Ends after so many"))), [""; 0]);
+}
+
 #[rstest]
 #[case::nothing(&[], "martenweir: no configuration: name a file or set NODE_CONFIG\n")]
 #[case::unknown(&["--nonsense"], "martenweir: unknown option --nonsense\nusage: martenweir [")]
@@ -71,6 +155,8 @@
 #[case::mget_of_nobody(&["mget", NOBODY, "CACHE.GET", "-k", "--", "c=x"], "martenweir: mget: 127.0.0.1:1: ")]
 #[case::tap(&["tap"], "martenweir: usage: martenweir tap ADDRESS [class=NAME] [tenant=NAME]\n")]
 #[case::tap_of_nobody(&["tap", NOBODY, "--help"], "martenweir: tap: 127.0.0.1:1: ")]
+#[case::help_as_a_read(&["mget", NOBODY, "-h"], "martenweir: mget: 127.0.0.1:1: ")]
+#[case::help_as_a_value(&["planner", "--conf", "--help"], "martenweir: --help: No such file")]
 #[case::checkaddr(&["checkaddr", "/none"], "martenweir: usage: martenweir checkaddr FILE ADDRESS\n")]
 #[case::checkaddr_of_three(&["checkaddr", "a", "b", "c"], "martenweir: usage: martenweir checkaddr FILE ")]
 #[case::checkaddr_of_none(&["checkaddr", CONF, "-x"], "martenweir: checkaddr: not an address: -x\n")]
