Go on to other nodes, without a budget, from one with no place for a connection

Cause: net/upstream took such an answer for a busy node. The module then held the node for saturated, narrowed its gate, and paid for the next attempt from the budget of repeats (a fifth of the requests), which was empty within a second; the next candidates had places.

Change: a node that turns the first job of a connection away and closes it within 2 ms has no place (Reply::no_place, Outcome::no_place). That is a failed connection: no load, no sign of a busy node, and the next attempt takes nothing from the budget unless the fleet is strained; a request's attempts bound it as before.

--- a/crates/cost/src/decision.rs
+++ b/crates/cost/src/decision.rs
@@ -73,6 +73,7 @@
             verdict: Verdict::Served,
             elapsed: 2_000,
             finished: true,
+            no_place: false,
             note: 1,
             report: vec![0.1],
         };
--- a/crates/lab/examples/decisions.rs
+++ b/crates/lab/examples/decisions.rs
@@ -121,7 +121,8 @@
         let report = if server == ORIGIN { Vec::new() } else { vec![UTILISATION] };
         let finished = verdict == Verdict::Served;
         let note = if finished { 1 } else { 2 };
-        let end = Outcome { request, attempt, server, verdict, elapsed, finished, note, report };
+        let end =
+            Outcome { request, attempt, server, verdict, elapsed, finished, no_place: false, note, report };
         self.after(elapsed, Event::Outcome(end));
     }
 
--- a/src/bin/trackshift-benchlink/wire.rs
+++ b/src/bin/trackshift-benchlink/wire.rs
@@ -170,6 +170,7 @@
             verdict: self.verdict()?,
             elapsed: self.micros()?,
             finished: self.u8()? != 0,
+            no_place: false,
             note: self.u32()?,
             report: self.report()?,
         }))
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -519,7 +519,7 @@
             self.spills.request(now);
             self.advance(now, id, out);
         } else if mine {
-            match self.pays(now, id, end.verdict) {
+            match self.pays(now, id, &end) {
                 true => self.advance(now, id, out),
                 false => self.spill(now, id, out),
             }
@@ -529,17 +529,17 @@
 
     /// Whether another attempt is in the budget: a broken connection is no load and takes nothing; nothing is
     /// left to pay with where a time-out was all the time the request had, or no other may be made beside it.
-    fn pays(&mut self, now: Micros, id: RequestId, verdict: Verdict) -> bool {
+    fn pays(&mut self, now: Micros, id: RequestId, end: &Outcome) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
         let (left, strained) = (o.request.deadline - now, self.strained());
-        match verdict {
+        match end.verdict {
             Verdict::Timeout | Verdict::Moot => {
                 let more = left > 2 * self.settings.period && self.settings.may_copy && !strained;
                 more && self.retries.take(Extra::Repeat)
             }
             // Over quota it is served where there is room, and not tried elsewhere where there is none.
             Verdict::Full if o.over => false,
-            Verdict::Reset | Verdict::ConnectFailed if !strained => true,
+            _ if end.connection_failed() && !strained => true,
             _ => self.retries.take(Extra::Repeat),
         }
     }
@@ -558,7 +558,7 @@
         let aim = self.open.get(&end.request).map_or(0, |o| if o.over { 0 } else { o.class.aim });
         let told = |s: &Server| (s.overtook(sent, end.verdict), usize::from(!s.origin));
         let (lone, first) = self.servers.get(&end.server).map_or((false, 0), told);
-        if !lone {
+        if !lone && !end.no_place {
             self.busy(now, end.server, end.verdict);
         }
         self.want(end.request, first);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -98,6 +98,8 @@
     pub report: Vec<f32>,
     /// The connection can carry another upstream request.
     pub keep: bool,
+    /// The node turned a new connection away: it has no place for another.
+    pub no_place: bool,
 }
 
 /// How a stream ended.
@@ -949,6 +951,7 @@
         if let Some(turn) = u.turn.filter(|_| u.connection.is_none()) {
             self.pool.wait_no_more(u.server, turn);
         }
+        let no_place = reply.as_ref().is_some_and(|r| r.no_place);
         let (value, note, report) = reply.map_or_else(Default::default, |r| (r.value, r.note, r.report));
         let (server, elapsed) = (u.server, now - u.sent);
         let load = if self.watched { self.load(&report) } else { None };
@@ -987,7 +990,7 @@
             self.answer(now, stream.0, if absent { Answer::Absent } else { Answer::Value(value) });
         }
         let finished = !self.streams.contains_key(&stream.0);
-        let end = Outcome { elapsed, note, report, ..outcome(stream, server, verdict, finished) };
+        let end = Outcome { elapsed, no_place, note, report, ..outcome(stream, server, verdict, finished) };
         self.events.push_back(Event::Outcome(end));
     }
 
@@ -1018,5 +1021,15 @@
 
 fn outcome(stream: (RequestId, u8), server: ServerId, verdict: Verdict, finished: bool) -> Outcome {
     let (request, attempt) = stream;
-    Outcome { request, attempt, server, verdict, elapsed: 0, finished, note: 0, report: Vec::new() }
+    Outcome {
+        request,
+        attempt,
+        server,
+        verdict,
+        elapsed: 0,
+        finished,
+        no_place: false,
+        note: 0,
+        report: Vec::new(),
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -289,6 +289,8 @@
     pub elapsed: Micros,
     /// The request has had its final answer.
     pub finished: bool,
+    /// Turned away by a server that has no place for another connection: it closed the new one right behind that.
+    pub no_place: bool,
     /// 1 hit, 2 miss, 3 miss while another fetch of the key is out.
     pub note: u32,
     /// Values in the order of `Settings::columns`; empty where none came.
@@ -301,6 +303,11 @@
         matches!(self.verdict, Verdict::Timeout | Verdict::Reset | Verdict::Cancelled)
     }
 
+    /// Whether it was the connection that failed: that is no load on the server, and says nothing of how busy it is.
+    pub fn connection_failed(&self) -> bool {
+        matches!(self.verdict, Verdict::Reset | Verdict::ConnectFailed) || self.no_place
+    }
+
     /// Whether the server's process said something, be it that it would not. A refused connection may be that of a
     /// process that is gone, or of one that holds too many.
     pub fn shows_life(&self) -> bool {
--- a/src/net/memcached/node.rs
+++ b/src/net/memcached/node.rs
@@ -25,7 +25,7 @@
 }
 
 fn answer(verdict: Verdict, value: &[u8], keep: bool) -> Reply {
-    Reply { verdict, value: value.to_vec(), note: 0, report: Vec::new(), keep }
+    Reply { verdict, value: value.to_vec(), note: 0, report: Vec::new(), keep, no_place: false }
 }
 
 /// `number` tells the jobs of one connection apart.
--- a/src/net/origin.rs
+++ b/src/net/origin.rs
@@ -31,5 +31,5 @@
         _ => Verdict::Error,
     };
     let report = head.header("Endpoint-Load-Metrics").map_or_else(Vec::new, |t| codec::report(t, columns));
-    Ok(Some((Reply { verdict, value, note: 0, report, keep: head.keep }, taken)))
+    Ok(Some((Reply { verdict, value, note: 0, report, keep: head.keep, no_place: false }, taken)))
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -6,11 +6,15 @@
 use crate::core::{ConnectionId, Input, Job, Reply, Stage, READS};
 use crate::interface::Verdict;
 use async_channel::Receiver;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a node that turns the first job of a connection away is given to close it too: that comes right behind.
+const CLOSING: Duration = Duration::from_millis(2);
 
 /// What a node speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,7 +89,14 @@
 }
 
 fn reply(reply: resp::Reply, probe: bool, columns: &[String]) -> Reply {
-    let mut r = Reply { verdict: Verdict::Error, value: Vec::new(), note: 0, report: Vec::new(), keep: true };
+    let mut r = Reply {
+        verdict: Verdict::Error,
+        value: Vec::new(),
+        note: 0,
+        report: Vec::new(),
+        keep: true,
+        no_place: false,
+    };
     match reply {
         resp::Reply::Array(items) if !probe => {
             let whole = <[_; 3]>::try_from(items).ok();
@@ -181,6 +192,17 @@
         future::or(closed, async { jobs.recv().await.ok() }).await
     }
 
+    /// Whether the node closes within [`CLOSING`], with nothing more to say.
+    async fn closes(&self) -> bool {
+        let mut byte = [0; 1];
+        let closed = async { matches!(self.socket.peek(&mut byte).await, Ok(0) | Err(_)) };
+        let stays = async {
+            Timer::after(CLOSING).await;
+            false
+        };
+        self.input.is_empty() && future::or(closed, stays).await
+    }
+
     async fn carry(&mut self, job: &Job) -> Result<Reply, (Stage, Option<Malformed>)> {
         self.number = self.number.wrapping_add(1);
         let turn = Turn { job, address: self.address, number: self.number, columns: &self.columns };
@@ -199,8 +221,12 @@
                 _ => return Err((Stage::Reading, None)),
             }
             let parsed = self.dialect.reply(&self.input, &turn);
-            if let Some((reply, taken)) = parsed.map_err(|m| (Stage::Reading, Some(m)))? {
+            if let Some((mut reply, taken)) = parsed.map_err(|m| (Stage::Reading, Some(m)))? {
                 consume(&mut self.input, taken);
+                if self.number == 1 && reply.verdict == Verdict::Full {
+                    reply.no_place = self.closes().await;
+                    reply.keep &= !reply.no_place;
+                }
                 return Ok(reply);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,6 +164,7 @@
         match end.verdict {
             Verdict::Served | Verdict::Miss if end.elapsed < late => Ending::InTime,
             Verdict::Served | Verdict::Miss => Ending::Slow,
+            Verdict::Full if end.no_place => Ending::Broken,
             Verdict::Full | Verdict::Error => Ending::Refused,
             Verdict::Timeout if !self.overtook(sent, end.verdict) => Ending::Silent,
             _ => Ending::Broken,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -93,6 +93,7 @@
         let (request, attempt, server) = *self.sent.iter().rev().find(|s| s.0 == id).expect("an attempt");
         let finished = verdict == Verdict::Served;
         self.event(Event::Outcome(Outcome {
+            no_place: false,
             request,
             attempt,
             server,
@@ -105,6 +106,26 @@
     }
 }
 
+impl Router {
+    /// Ends the last attempt of a request at a server that has no place for another connection.
+    fn end_without_place(&mut self, id: RequestId) -> Vec<Action> {
+        let (request, attempt, server) = *self.sent.iter().rev().find(|s| s.0 == id).expect("an attempt");
+        let (verdict, elapsed, report) = (Verdict::Full, MS, Vec::new());
+        let end = Outcome {
+            no_place: true,
+            request,
+            attempt,
+            server,
+            verdict,
+            elapsed,
+            finished: false,
+            note: 0,
+            report,
+        };
+        self.event(Event::Outcome(end))
+    }
+}
+
 fn server(out: &[Action]) -> Option<ServerId> {
     out.iter().find_map(|a| match a {
         Action::Send { server, .. } => Some(*server),
@@ -712,6 +733,7 @@
         r.end(id, Verdict::Served, 10 * MS, report);
     }
     let stray = Outcome {
+        no_place: false,
         request: RequestId(999),
         attempt: 3,
         server: ServerId(77),
@@ -781,6 +803,7 @@
     assert_eq!(server(&r.pass(100 * MS)), None);
     let (request, attempt, to) = r.sent[0];
     let end = |verdict| Outcome {
+        no_place: false,
         request,
         attempt,
         server: to,
@@ -868,6 +891,39 @@
     assert!(failed > 20 && (5..90).contains(&late), "{failed} failed, {late} of them in the later half");
 }
 
+/// Standing test, join: of 20,516 reads not served within 5 s 13,108 had asked one node, which had no place for another
+/// connection. That is no load on it, so no budget bounds the way to the next, only the attempts of a request.
+#[test]
+fn a_read_whose_node_has_no_place_for_its_connection_goes_on_without_a_budget() {
+    let attempts = |placeless: bool| {
+        let mut r = Router::new(settings(), members(12));
+        let mut all = Vec::new();
+        for k in 0..80u64 {
+            r.key(3 * k + 1);
+            r.key(3 * k + 2);
+            let (id, out) = r.ask(Request { key: Key(3 * k + 3), ..Request::default() });
+            assert!(server(&out).is_some());
+            let out = if placeless { r.end_without_place(id) } else { r.end(id, Verdict::Full, MS, vec![]) };
+            all.push(1 + u32::from(server(&out).is_some()));
+            if server(&out).is_some() {
+                r.end(id, Verdict::Served, 10 * MS, vec![0.1]);
+            }
+            r.pass(50 * MS);
+        }
+        all
+    };
+    assert!(attempts(false)[40..].contains(&1), "a node that is busy: the budget is used up");
+    assert!(attempts(true).iter().all(|n| *n == 2));
+
+    let mut r = Router::new(settings(), members(12));
+    let (id, mut out) = r.ask(Request { key: Key(7), ..Request::default() });
+    for _ in 1..settings().max_attempts {
+        assert!(server(&out).is_some());
+        out = r.end_without_place(id);
+    }
+    assert!(refused(&r.end_without_place(id)), "its attempts are used up");
+}
+
 /// Idle connections kept where servers take few were other routers' refusals, and keys lost their caches.
 #[test]
 fn where_connections_are_refused_idle_ones_are_closed_after_use() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -285,6 +285,7 @@
             n => vec![0.0, n as f32 * 0.3],
         };
         let end = Outcome {
+            no_place: false,
             request: id,
             attempt: attempt as u8,
             server: s.server,
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -2,9 +2,11 @@
 
 use async_executor::LocalExecutor;
 use martenweir::core::{ConnectionId, Input, Job, Stage};
+use martenweir::interface::Verdict;
 use martenweir::net::upstream::{carry, Dialect};
 use martenweir::net::News;
 use rstest::rstest;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -35,6 +37,38 @@
     assert!(matches!(ended, Ok(News::Core(Input::Broken(_, Stage::Idle)))));
 }
 
+/// Guards what is believed of a node with a full table: it turns a new connection away and closes it, and is not busy.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn a_node_that_turns_a_new_connection_away_and_closes_it_has_no_place(#[case] closes: bool) {
+    let node = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = node.local_addr().expect("an address");
+    let (tell, news) = async_channel::bounded(4);
+    let (give, jobs) = async_channel::bounded(1);
+    let executor = LocalExecutor::new();
+    let carried = carry(ConnectionId(1), address, Dialect::Cache, jobs, tell, Rc::new(Vec::new()));
+    let _task = executor.spawn(carried);
+    let told = async_io::block_on(executor.run(async {
+        assert!(matches!(news.recv().await, Ok(News::Core(Input::Connected(_)))));
+        let (mut socket, peer) = node.accept().expect("a connection");
+        give.try_send(Job::Probe).expect("room for a job");
+        socket.set_nonblocking(true).expect("a socket");
+        while socket.read(&mut [0; 256]).is_err() {
+            futures_lite::future::yield_now().await;
+        }
+        socket.write_all(b"-BUSY\r\n").expect("it is written");
+        let kept = (!closes).then_some(socket);
+        let closed = |l: &str| l.contains(&format!(":{:04X} ", peer.port())) && l.contains(" 08 ");
+        while closes && !std::fs::read_to_string("/proc/net/tcp").expect("the table").lines().any(closed) {}
+        let told = news.recv().await;
+        drop(kept);
+        told
+    }));
+    let Ok(News::Core(Input::Replied(_, reply))) = told else { panic!("no reply") };
+    assert_eq!((reply.verdict, reply.no_place, reply.keep), (Verdict::Full, closes, !closes));
+}
+
 /// Guards the module's beliefs: a report with a value that is no load counts for nothing, not even in part.
 #[rstest]
 #[case("eps=0.5,util=0.61", &[0.5, 0.61])]
