--- a/crates/lab/src/loopback/host.rs
+++ b/crates/lab/src/loopback/host.rs
@@ -65,6 +65,9 @@
 
 impl Host for Loopback {
     fn run(&self, scenario: &Scenario, seed: u64, progress: &dyn Progress) -> Result<Run, HostError> {
+        if scenario.sizes_every_s.is_some() {
+            return Err(HostError::Unplayable("sizes of tables are taken in virtual time only".into()));
+        }
         if scenario.crowd.is_some() {
             return Err(HostError::Unplayable(
                 "a crowd of connections is played in virtual time only".into(),
--- a/crates/lab/src/report/result.rs
+++ b/crates/lab/src/report/result.rs
@@ -6,7 +6,7 @@
 use crate::input::setting::Setting;
 use serde::Serialize;
 use std::collections::BTreeMap;
-use world::outcome::{Doorway, Latencies, Meetings, Run};
+use world::outcome::{Doorway, Latencies, Meetings, Run, Sizes};
 
 /// Where a run was played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, clap::ValueEnum)]
@@ -66,11 +66,45 @@
     /// Connections to proxies, where the scenario has a crowd.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub doorway: Option<Doorway>,
+    /// Sizes of the proxies' tables, where the scenario asks for them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sizes: Option<SizesFile>,
     /// How tries met the proxies' sockets, on loopback.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub meetings: Option<Meetings>,
 }
 
+/// Sizes of tables, each of the proxy that had most in it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SizesFile {
+    /// From one moment to the next; the first is one such time after the start.
+    pub every_s: f64,
+    pub tables: BTreeMap<String, TableSizes>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TableSizes {
+    /// Means over the first, the middle and the last tenth of the moments.
+    pub start: f64,
+    pub middle: f64,
+    pub end: f64,
+    pub most: u64,
+    /// Of every moment.
+    pub series: Vec<u64>,
+}
+
+impl SizesFile {
+    fn new(sizes: &Sizes) -> Self {
+        let table = |series: &Vec<u64>| {
+            let s = Sizes::span(series);
+            let [start, middle, end] = [s.start, s.middle, s.end].map(|x| round(x, 1));
+            TableSizes { start, middle, end, most: s.most, series: series.clone() }
+        };
+        let tables = sizes.tables.iter().map(|(name, series)| (name.clone(), table(series)));
+        SizesFile { every_s: sizes.every_us as f64 / 1e6, tables: tables.collect() }
+    }
+}
+
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Broken {
@@ -108,6 +142,7 @@
             name: run.scenario.clone(),
             doorway: run.doorway,
             meetings: run.meetings,
+            sizes: run.sizes.as_ref().map(SizesFile::new),
             world,
             seed: run.seed,
             set: set.iter().map(ToString::to_string).collect(),
--- a/crates/lab/src/report/run.rs
+++ b/crates/lab/src/report/run.rs
@@ -34,6 +34,12 @@
     most("failed", part(all.failed), expect.failed);
     most("ledger_reads", run.tally.ledger_reads as f64, expect.ledger_reads.map(|n| n as f64));
     most("ledger_stops", run.tally.ledger_stops as f64, expect.ledger_stops.map(|n| n as f64));
+    if let (Some(times), Some(sizes)) = (expect.growth, &run.sizes) {
+        unmet.extend(sizes.grown(times).into_iter().map(|(table, span)| {
+            let (middle, end) = (span.middle, span.end);
+            format!("{table} grew from {middle:.1} to {end:.1}, at most {times} times its middle is expected")
+        }));
+    }
     unmet
 }
 
@@ -119,6 +125,17 @@
         table
     }
 
+    /// What the proxies kept, if it was looked at.
+    fn sizes(&self) -> Option<Table> {
+        let sizes = self.result.sizes.as_ref()?;
+        let mut table = Table::new(&["most that a proxy kept", "start", "middle", "end", "most"]);
+        for (name, t) in &sizes.tables {
+            let means = [t.start, t.middle, t.end].map(|x| format!("{x:.1}"));
+            table.row([name.clone()].into_iter().chain(means).chain([grouped(t.most)]));
+        }
+        Some(table)
+    }
+
     fn faults(&self) -> Vec<String> {
         let span = |f: &world::outcome::FaultMark| {
             if f.until_s > f.from_s {
@@ -161,6 +178,9 @@
         let mut text = format!("{}: {}\n", self.title(), self.speed());
         text +=
             &format!("served worth {:.4}\n\n{}\n{}", self.run.served_worth(), self.classes(), self.work());
+        if let Some(sizes) = self.sizes() {
+            text += &format!("\n{sizes}");
+        }
         for fault in self.faults() {
             text += &format!("fault  {fault}\n");
         }
@@ -196,6 +216,9 @@
         page.heading("What became of requests").table(&self.classes());
         self.plots(&mut page)?;
         page.heading("Work").table(&self.work());
+        if let Some(sizes) = self.sizes() {
+            page.heading("What the proxies kept").table(&sizes);
+        }
         Ok(page.finish())
     }
 
--- a/crates/lab/src/search/draw.rs
+++ b/crates/lab/src/search/draw.rs
@@ -117,8 +117,16 @@
     if reads.hall && !base.halls.is_empty() {
         fault.hall = Some(base.halls[rng.random_range(0..base.halls.len())].clone());
     }
-    if reads.proxy && rng.random_bool(0.5) {
-        fault.proxy = Some(rng.random_range(0..base.proxies.count.max(1)));
+    if reads.proxy {
+        // One of them, a part at once, or all in turn.
+        match rng.random_range(0..4) {
+            0 | 1 => fault.proxy = Some(rng.random_range(0..base.proxies.count.max(1))),
+            2 => {
+                fault.part = Some(tenths(rng.random_range(0.1..1.0)).max(0.1));
+                fault.every_s = fault.every_s.filter(|_| rng.random_bool(0.5));
+            }
+            _ => {}
+        }
     }
     if reads.tenant && !base.clients.tenants.is_empty() {
         let tenants = &base.clients.tenants;
--- a/crates/lab/src/search/shrink.rs
+++ b/crates/lab/src/search/shrink.rs
@@ -147,15 +147,16 @@
             }) {}
             self.halve(i, |f| &mut f.down_s);
             self.halve(i, |f| &mut f.every_s);
+            self.halve(i, |f| &mut f.part);
             self.with(|s| fault(s, &|f| f.nodes = f.nodes.map(|_| 1)));
             while self.with(|s| fault(s, &|f| f.nodes = f.nodes.map(|n| n.div_ceil(2)))) {}
         }
     }
 
-    fn halve(&mut self, i: usize, time: fn(&mut Fault) -> &mut Option<f64>) {
+    fn halve(&mut self, i: usize, field: fn(&mut Fault) -> &mut Option<f64>) {
         let half = |fault: &mut Fault| {
-            let time = time(fault);
-            *time = time.map(|t| tenths(t / 2.0));
+            let field = field(fault);
+            *field = field.map(|x| tenths(x / 2.0));
         };
         while self.with(|s| s.faults.get_mut(i).map_or((), half)) {}
     }
--- a/crates/lab/src/virtual_host/engine.rs
+++ b/crates/lab/src/virtual_host/engine.rs
@@ -16,7 +16,7 @@
 use world::discovery::News;
 use world::facts::{Fact, Final, NodeNo, ProxyNo, TryNo, LEDGER};
 use world::node::{Answer, Ask, Dialled};
-use world::outcome::{Doorway, Lateness, Run};
+use world::outcome::{Doorway, Lateness, Run, Sizes};
 use world::random::{ms, seconds, seed_of, stream, Map};
 use world::world::{Occurrence, ProxyChange, Visit, World};
 
@@ -59,6 +59,8 @@
     Told(Box<News>),
     /// Something happens to a proxy's connections from clients.
     Lobby(ProxyNo, u32),
+    /// The sizes of the proxies' tables are taken.
+    Measure,
 }
 
 /// A proxy's process, or its place while there is none.
@@ -98,6 +100,8 @@
     grace: Micros,
     /// Of all proxies' lives that are over.
     doorway: Doorway,
+    /// If the scenario asks for them.
+    sizes: Option<Sizes>,
 }
 
 impl<'a> Engine<'a> {
@@ -130,6 +134,7 @@
             effects: Vec::new(),
             grace: ms(world.scenario().rules.answer_grace_ms),
             doorway: Doorway::default(),
+            sizes: world.scenario().sizes_every_s.map(|s| Sizes::new(seconds(s))),
             subjects,
             world,
         }
@@ -140,6 +145,9 @@
             self.start(0, ProxyNo(i as u32));
         }
         let end = seconds(self.world.scenario().seconds);
+        if let Some(sizes) = &self.sizes {
+            self.queue.plan(sizes.every_us, Event::Measure);
+        }
         let (mut now, mut told) = (0, 0);
         loop {
             let (moves, happens) = (self.world.next(), self.queue.next());
@@ -176,7 +184,7 @@
         }
         (0..self.proxies.len()).for_each(|i| self.close_lobby(ProxyNo(i as u32)));
         let doorway = self.world.scenario().crowd.as_ref().map(|_| self.doorway);
-        Run { doorway, ..self.world.finish(now, Lateness::default()) }
+        Run { doorway, sizes: self.sizes, ..self.world.finish(now, Lateness::default()) }
     }
 
     fn happen(&mut self, at: Micros, event: Event) {
@@ -217,6 +225,7 @@
                     self.look_after(at, proxy);
                 }
             }
+            Event::Measure => self.measure(at),
             Event::Told(news) => {
                 let list = site::cluster(&self.world, news.revision, false, &[news.entry]);
                 self.input(at, news.proxy, Input::Cluster(Some(list)));
@@ -478,6 +487,18 @@
         self.effects = effects;
     }
 
+    /// Looks at what the proxies keep, now and then while clients arrive.
+    fn measure(&mut self, at: Micros) {
+        let end = seconds(self.world.scenario().seconds);
+        let Some(sizes) = self.sizes.as_mut() else { return };
+        let running = self.proxies.iter().filter_map(|p| p.subject.as_ref());
+        sizes.take(running.flat_map(|s| s.sizes()));
+        let next = at + sizes.every_us;
+        if next <= end {
+            self.queue.plan(next, Event::Measure);
+        }
+    }
+
     // ---- connections
 
     /// When a message on a connection arrives at the other end; `None` if it is lost, and the connection silent.
--- a/crates/lab/src/virtual_host/planned.rs
+++ b/crates/lab/src/virtual_host/planned.rs
@@ -6,6 +6,7 @@
 //! loses those between proxies and nodes. Planner processes do not fail here; `crates/plan/tests` has that.
 
 use super::{Start, Subject, Subjects};
+use martenweir::core::survey::Size;
 use martenweir::core::{Core, Effect, Input};
 use martenweir::features::forwarder::{rules, Forwarding, Settings, Wish};
 use martenweir::interface::{Micros, Plan};
@@ -350,6 +351,10 @@
     fn open_streams(&self) -> usize {
         self.core.open_streams()
     }
+
+    fn sizes(&self) -> Vec<Size> {
+        self.core.sizes()
+    }
 }
 
 impl Drop for Planned {
--- a/crates/lab/src/virtual_host/planted.rs
+++ b/crates/lab/src/virtual_host/planted.rs
@@ -6,6 +6,7 @@
 
 use super::subject::{Real, Start, Subject, Subjects};
 use martenweir::codec::discovery::Cluster;
+use martenweir::core::survey::Size;
 use martenweir::core::{Answer, ConnectionId, Effect, Input, Job, Message};
 use martenweir::interface::{Micros, Phase, Verdict};
 use std::collections::BTreeMap;
@@ -32,6 +33,10 @@
     /// Answers are lost, but only while one node drains and others answer with one error after another: no single
     /// kind of fault does both.
     LosesWhileDrainedAndFailing,
+    /// One answer in so many is kept for good, in a table of the fault's own. Breaks no rule.
+    KeepsAnswers { one_in: u64 },
+    /// Nodes that are gone drain for ever: the core is never told that they left. Breaks no rule.
+    KeepsGone,
 }
 
 /// Makes every proxy of a run with this fault.
@@ -56,6 +61,7 @@
             drained: Vec::new(),
             failed: now - LATELY,
             failures: 0,
+            kept: Vec::new(),
         });
         planted.inner.take_effects(&mut planted.own);
         planted
@@ -108,6 +114,7 @@
     drained: Vec<SocketAddr>,
     failed: Micros,
     failures: u32,
+    kept: Vec<Vec<u8>>,
 }
 
 impl Faulty {
@@ -213,6 +220,12 @@
                 Some(Answer::Value(if self.each(one_in) && !before.is_empty() { before } else { value }))
             }
             (Plant::InventsAnswer, Answer::Busy(_)) => Some(Answer::Value(own.to_vec())),
+            (Plant::KeepsAnswers { one_in }, Answer::Value(value)) => {
+                if self.each(one_in) {
+                    self.kept.push(value.clone());
+                }
+                Some(Answer::Value(value))
+            }
             (_, answer) => Some(answer),
         }
     }
@@ -250,6 +263,11 @@
             Input::Broken(c, _) if c.0 & OWN != 0 => {
                 self.connections.remove(&c);
             }
+            Input::Cluster(Some(mut list)) if self.plant == Plant::KeepsGone => {
+                let gone = list.nodes.iter_mut().filter(|n| n.member.phase == Phase::Gone);
+                gone.for_each(|n| n.member.phase = Phase::Draining);
+                self.inner.input(now, Input::Cluster(Some(list)));
+            }
             input => self.inner.input(now, input),
         }
         self.gather(now);
@@ -272,4 +290,10 @@
     fn open_streams(&self) -> usize {
         self.inner.open_streams()
     }
+
+    fn sizes(&self) -> Vec<Size> {
+        let mut sizes = self.inner.sizes();
+        sizes.push(("planted.kept", self.kept.len()));
+        sizes
+    }
 }
--- a/crates/lab/src/virtual_host/subject.rs
+++ b/crates/lab/src/virtual_host/subject.rs
@@ -1,6 +1,7 @@
 //! What the engine drives: the proxy's core, or something in its place that fails in a known way.
 
 use martenweir::codec::discovery::Cluster;
+use martenweir::core::survey::Size;
 use martenweir::core::{Core, Effect, Input};
 use martenweir::interface::{Micros, Settings};
 use world::facts::ProxyNo;
@@ -13,6 +14,11 @@
     /// Puts what is to be carried out since the last call into an empty list, in order.
     fn take_effects(&mut self, into: &mut Vec<Effect>);
     fn open_streams(&self) -> usize;
+
+    /// The tables that it keeps, and how many things each holds.
+    fn sizes(&self) -> Vec<Size> {
+        Vec::new()
+    }
 }
 
 impl Subject for Core {
@@ -31,6 +37,10 @@
     fn open_streams(&self) -> usize {
         Core::open_streams(self)
     }
+
+    fn sizes(&self) -> Vec<Size> {
+        Core::sizes(self)
+    }
 }
 
 /// What a proxy is started with.
--- a/crates/placement/src/kept.rs
+++ b/crates/placement/src/kept.rs
@@ -72,6 +72,10 @@
 }
 
 impl Kept {
+    pub fn len(&self) -> usize {
+        self.keys.iter().filter(|key| **key != 0).count()
+    }
+
     /// The list of a key, perhaps of before, or still to be made.
     pub fn list(&mut self, key: u64) -> &mut List {
         if self.keys.is_empty() {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -163,6 +163,11 @@
         self.sides.iter().map(Side::len).sum()
     }
 
+    /// Keys whose lists are kept, and changes that the log holds.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.kept.borrow().len(), self.log.len())
+    }
+
     /// Whether no node is placed.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/world/src/outcome.rs
+++ b/crates/world/src/outcome.rs
@@ -7,6 +7,7 @@
 use crate::Micros;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::collections::BTreeMap;
 
 /// Latencies in microseconds, to three digits.
 #[derive(Clone, Debug, PartialEq)]
@@ -284,6 +285,64 @@
     }
 }
 
+/// Sizes of the proxies' tables over a run, where a scenario asks for them: of each table what the proxy had that had
+/// most in it, at each moment.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sizes {
+    pub every_us: Micros,
+    pub tables: BTreeMap<String, Vec<u64>>,
+    taken: usize,
+}
+
+/// A table over a run: means over the first, the middle and the last tenth of the moments, and the most at one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Span {
+    pub start: f64,
+    pub middle: f64,
+    pub end: f64,
+    pub most: u64,
+}
+
+/// A table that has grown by no more than this many is not looked at: a few things more or less are chance.
+const FEW: f64 = 16.0;
+
+impl Sizes {
+    pub fn new(every_us: Micros) -> Self {
+        Sizes { every_us, ..Sizes::default() }
+    }
+
+    /// Another moment: the tables of each proxy that runs.
+    pub fn take<'a>(&mut self, tables: impl Iterator<Item = (&'a str, usize)>) {
+        for (table, held) in tables {
+            if !self.tables.contains_key(table) {
+                self.tables.insert(table.to_owned(), Vec::new());
+            }
+            let Some(series) = self.tables.get_mut(table) else { continue };
+            series.resize(self.taken + 1, 0);
+            series[self.taken] = series[self.taken].max(held as u64);
+        }
+        self.taken += 1;
+        self.tables.values_mut().for_each(|series| series.resize(self.taken, 0));
+    }
+
+    pub fn span(series: &[u64]) -> Span {
+        let (n, width) = (series.len(), series.len().div_ceil(10));
+        let mean = |from: usize| {
+            let part = &series[from..from + width];
+            part.iter().sum::<u64>() as f64 / width.max(1) as f64
+        };
+        let most = series.iter().copied().max().unwrap_or(0);
+        Span { start: mean(0), middle: mean((n - width) / 2), end: mean(n - width), most }
+    }
+
+    /// The tables whose end is over so many times their middle, with both. What grows at a steady pace from nothing
+    /// ends with 1.9 times its middle, so a bound has to be under that; what is bounded and full by then has 1.
+    pub fn grown(&self, times: f64) -> Vec<(&str, Span)> {
+        let spans = self.tables.iter().map(|(table, series)| (table.as_str(), Sizes::span(series)));
+        spans.filter(|(_, s)| s.end > times * s.middle && s.end - s.middle > FEW).collect()
+    }
+}
+
 /// How the tries of clients met the proxies' sockets, where there are any.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Meetings {
@@ -320,6 +379,9 @@
     /// `None` without a crowd.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub doorway: Option<Doorway>,
+    /// `None` where the scenario does not ask for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sizes: Option<Sizes>,
     /// `None` in virtual time.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub meetings: Option<Meetings>,
--- a/crates/world/src/scenario/faults.rs
+++ b/crates/world/src/scenario/faults.rs
@@ -16,7 +16,8 @@
     /// How long it lasts. For what happens once and stays (a drain, new nodes) the time over which it happens.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub for_s: f64,
-    /// How many nodes it strikes, drawn by the seed; or the part of them (of those that serve then).
+    /// How many nodes it strikes, drawn by the seed; or the part of them (of those that serve then). Of proxies too
+    /// the part, of all of them: these go at once, unless `every_s` says otherwise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub nodes: Option<u32>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -27,7 +28,7 @@
     /// The hall it strikes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hall: Option<String>,
-    /// The proxy it strikes, counted from 0; all one after the other if absent.
+    /// The proxy it strikes, counted from 0; without it and `part`, all one after the other.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub proxy: Option<u32>,
     /// The tenant it comes from, by name.
@@ -127,6 +128,7 @@
     /// One of `node`, `nodes` and `part`.
     pub nodes: bool,
     pub hall: bool,
+    /// One of `proxy` and `part`, or neither.
     pub proxy: bool,
     pub tenant: bool,
     pub times: bool,
--- a/crates/world/src/scenario/mod.rs
+++ b/crates/world/src/scenario/mod.rs
@@ -40,6 +40,9 @@
     /// Connections that want nothing; none if absent. Virtual time only.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub crowd: Option<Crowd>,
+    /// How often the sizes of the proxies' tables are taken; never if absent. Virtual time only.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sizes_every_s: Option<f64>,
     pub faults: Vec<Fault>,
     pub rules: Rules,
     pub expect: Expect,
@@ -67,6 +70,7 @@
             network: Network::default(),
             clients: Clients::default(),
             crowd: None,
+            sizes_every_s: None,
             faults: Vec::new(),
             rules: Rules::default(),
             expect: Expect::default(),
@@ -550,4 +554,7 @@
     /// At most, over the run.
     pub ledger_reads: Option<u64>,
     pub ledger_stops: Option<u64>,
+    /// At most, as the end of a table's sizes over their middle ([`crate::outcome::Sizes::grown`]).
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub growth: Option<f64>,
 }
--- a/crates/world/src/scenario/validate.rs
+++ b/crates/world/src/scenario/validate.rs
@@ -21,6 +21,8 @@
 const MOST_KEYS: u32 = 50_000_000;
 const MOST_VALUE: f64 = 65_536.0;
 const MOST_MS: f64 = 3.6e6;
+/// Times that sizes are taken in a run.
+const MOST_SIZES: f64 = 1_000.0;
 
 type Check = Result<(), Problem>;
 
@@ -96,6 +98,11 @@
         }
         self.rules.validate()?;
         self.expect.validate()?;
+        if let Some(every) = self.sizes_every_s {
+            within("sizes_every_s", every, (self.seconds / MOST_SIZES).max(0.1), MOST_SECONDS)?;
+        } else if self.expect.growth.is_some() {
+            return wrong("expect.growth", "sizes_every_s is wanted beside it");
+        }
         for (i, fault) in self.faults.iter().enumerate() {
             self.validate_fault(&format!("faults[{i}]"), fault)?;
         }
@@ -164,7 +171,7 @@
         let known = [
             ("node", f.node.is_some(), reads.nodes),
             ("nodes", f.nodes.is_some(), reads.nodes),
-            ("part", f.part.is_some(), reads.nodes),
+            ("part", f.part.is_some(), reads.nodes || reads.proxy),
             ("hall", f.hall.is_some(), reads.hall),
             ("proxy", f.proxy.is_some(), reads.proxy),
             ("tenant", f.tenant.is_some(), reads.tenant),
@@ -180,6 +187,9 @@
         if let Some((field, ..)) = wants.iter().find(|(_, read, given)| *read && given.is_none()) {
             return wrong(path, format!("{kind} wants {field}"));
         }
+        if reads.proxy && f.proxy.is_some() && f.part.is_some() {
+            return wrong(path, format!("{kind} wants proxy or part, not both"));
+        }
         if matches!(f.kind, FaultKind::Grow) && f.nodes.is_none() {
             return wrong(path, "grow wants nodes, the number of new ones");
         }
@@ -351,6 +361,6 @@
         ] {
             x.map_or(Ok(()), |x| within(path, x, 0.0, 1.0))?;
         }
-        Ok(())
+        self.growth.map_or(Ok(()), |x| within("expect.growth", x, 1.0, 1e6))
     }
 }
--- a/crates/world/src/world/faults.rs
+++ b/crates/world/src/world/faults.rs
@@ -90,6 +90,11 @@
     }
 }
 
+/// So many are this part of all: at least one, unless it is nothing.
+fn part_of(part: f64, all: usize) -> usize {
+    ((part * all as f64).round() as usize).max(usize::from(part > 0.0))
+}
+
 impl World {
     /// Carries out the next step, due now.
     pub(super) fn play(&mut self, at: Micros, out: &mut Vec<(Micros, Occurrence)>) {
@@ -221,19 +226,22 @@
             self.members.iter().map(|m| m.no).filter(|no| self.nodes[no.0 as usize].serves()).collect();
         let wanted = match (fault.nodes, fault.part) {
             (Some(nodes), _) => nodes as usize,
-            (None, Some(part)) => {
-                ((part * serving.len() as f64).round() as usize).max(usize::from(part > 0.0))
-            }
+            (None, Some(part)) => part_of(part, serving.len()),
             (None, None) => 0,
         };
+        self.draw(i, wanted, &mut serving);
+        serving
+    }
+
+    /// Leaves so many of all, drawn by the seed and the fault's place, in the order in which they were drawn.
+    fn draw<T>(&self, i: usize, wanted: usize, all: &mut Vec<T>) {
         let mut rng = stream(self.seed, "struck", i as u64);
-        let wanted = wanted.min(serving.len());
+        let wanted = wanted.min(all.len());
         for at in 0..wanted {
-            let other = rng.random_range(at..serving.len());
-            serving.swap(at, other);
+            let other = rng.random_range(at..all.len());
+            all.swap(at, other);
         }
-        serving.truncate(wanted);
-        serving
+        all.truncate(wanted);
     }
 
     fn begin(&mut self, at: Micros, i: usize, out: &mut Vec<(Micros, Occurrence)>) {
@@ -330,7 +338,13 @@
             FaultKind::SilentDiscovery => self.pair(at, until, Step::Silence),
             FaultKind::ProxyRestart | FaultKind::ProxyCrash => {
                 let all = 0..self.scenario.proxies.count;
-                let proxies: Vec<u32> = all.filter(|p| fault.proxy.is_none_or(|f| f == *p)).collect();
+                let mut proxies: Vec<u32> = all.filter(|p| fault.proxy.is_none_or(|f| f == *p)).collect();
+                let count = proxies.len();
+                if let Some(part) = fault.part {
+                    self.draw(i, part_of(part, count), &mut proxies);
+                }
+                // A part goes at once.
+                let every = if fault.part.is_some() && fault.every_s.is_none() { 0 } else { every };
                 for (k, proxy) in proxies.iter().enumerate() {
                     let (turn, proxy) = (at + every * k as i64, ProxyNo(*proxy));
                     let planned = fault.kind == FaultKind::ProxyRestart;
@@ -347,7 +361,8 @@
                 }
                 what = match fault.proxy {
                     Some(proxy) => format!("proxy {proxy}"),
-                    None => format!("{} proxies", proxies.len()),
+                    None if fault.part.is_some() => format!("{} of {count} proxies", proxies.len()),
+                    None => format!("{count} proxies"),
                 };
             }
             FaultKind::Payday => what = format!("{times} times the traffic"),
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -544,6 +544,7 @@
             virtual_s: now as f64 / 1e6,
             late,
             doorway: None,
+            sizes: None,
             meetings: None,
         }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -82,9 +82,9 @@
     settings: Settings,
     rng: u64,
     pub(crate) servers: Servers,
-    open: BTreeMap<RequestId, Open>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
     /// Quotas: a bucket a tenant, and the part of the quotas that is this router's.
-    tenants: Vec<Bucket>,
+    pub(crate) tenants: Vec<Bucket>,
     part: f64,
     /// Hints lately; answers that warm caches gave this router, a second and unit of weight.
     hints: Moments,
@@ -103,14 +103,14 @@
     aim: Micros,
     /// Part of the attempts that got no connection, lately.
     unconnected: f64,
-    zones: BTreeMap<ZoneId, Zone>,
+    pub(crate) zones: BTreeMap<ZoneId, Zone>,
     /// Aside mode: the requests that wait for each key's fetch, its leader first; the queue for the origin,
     /// and how much may be out there.
-    fetches: BTreeMap<Key, VecDeque<RequestId>>,
+    pub(crate) fetches: BTreeMap<Key, VecDeque<RequestId>>,
     pub(crate) queue: Vec<RequestId>,
     /// Keys in order: whose turn it is, and requests that are over while an attempt of theirs is out.
-    turns: BTreeMap<Key, Turns>,
-    lingering: BTreeMap<RequestId, Open>,
+    pub(crate) turns: BTreeMap<Key, Turns>,
+    pub(crate) lingering: BTreeMap<RequestId, Open>,
     pub(crate) origin: Ledger,
     /// The time that origins take, and how often keys are asked for, lately.
     origin_time: Moments,
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -3,6 +3,7 @@
 //! The order of the tables differs from one process to the next, so what comes out of more than one node is put in
 //! order first: the same inputs give the same effects.
 
+use super::survey::Size;
 use super::{ConnectionId, UpstreamId};
 use crate::codec::discovery::Listed;
 use crate::interface::*;
@@ -112,6 +113,16 @@
         self.slots.len()
     }
 
+    /// How many things each table holds.
+    pub fn sizes(&self) -> [Size; 4] {
+        [
+            ("pool.nodes", self.nodes.len()),
+            ("pool.connections", self.slots.len()),
+            ("pool.idle", self.idle.len()),
+            ("pool.waiting", self.nodes.values().map(|n| n.waiting.len()).sum()),
+        ]
+    }
+
     /// Connections by node, dialled ones included.
     pub fn held(&self) -> BTreeMap<ServerId, u32> {
         let mut held = BTreeMap::new();
--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -1,6 +1,8 @@
 //! What there is to see of the cluster, for those who watch it: a row for each node, kept for a while after it
-//! has left, with what became of the upstream requests there. Nothing is decided by it.
+//! has left, with what became of the upstream requests there; and how much the core keeps. Nothing is decided
+//! by it.
 
+use super::Core;
 use crate::codec::discovery::Listed;
 use crate::interface::*;
 use std::collections::BTreeMap;
@@ -12,6 +14,29 @@
 /// Rows at the most; nodes beyond them have none.
 const ROWS: usize = 4096;
 
+/// A table, and how many things it holds.
+pub type Size = (&'static str, usize);
+
+impl Core {
+    /// How many things each table of the core and of the module holds now: entries, not the room that a table keeps
+    /// from its fullest time. Counted when asked; nothing is kept for it.
+    pub fn sizes(&self) -> Vec<Size> {
+        let mut sizes = vec![
+            ("core.streams", self.streams.len()),
+            ("core.by_downstream", self.by_downstream.len()),
+            ("core.ids", self.ids.len()),
+            ("core.upstream", self.upstream.len()),
+            ("core.timers", self.wheel.len()),
+            ("core.events", self.events.len()),
+            ("core.effects", self.effects.len()),
+            ("core.rows", self.marks.rows.len()),
+        ];
+        sizes.extend(self.pool.sizes());
+        sizes.extend(self.balancer.sizes());
+        sizes
+    }
+}
+
 /// Upstream requests, by how they ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ends {
--- a/src/core/wheel.rs
+++ b/src/core/wheel.rs
@@ -19,6 +19,10 @@
         Wheel { period, tick: (now / period) as u64, slots: (0..SLOTS).map(|_| Vec::new()).collect() }
     }
 
+    pub fn len(&self) -> usize {
+        self.slots.iter().map(Vec::len).sum()
+    }
+
     /// Due at the first tick at or after `at`, and never within the present one.
     pub fn insert(&mut self, at: Micros, what: T) {
         let tick = ((at + self.period - 1) / self.period).max(0) as u64;
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -62,6 +62,12 @@
         index.settle();
     }
 
+    /// Slots, used or free; those placed, keys whose candidates are kept, and changes of the placement that are.
+    pub fn sizes(&self) -> [usize; 4] {
+        let (keys, changes) = self.index.kept();
+        [self.slots.len(), self.index.len(), keys, changes]
+    }
+
     /// All, in the order of ids.
     pub fn values(&self) -> impl Iterator<Item = &Server> {
         self.order.iter().filter_map(|(_, slot)| self.slots[*slot as usize].as_ref())
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,5 +1,5 @@
 //! What the decision module shows to those who watch: it owns nothing, decides nothing and changes nothing.
-//! For the core's survey; who wants something decided goes through [`Balancer::handle`].
+//! For the core's survey, and for who asks how much it keeps; who wants something decided goes through [`Balancer::handle`].
 
 use crate::choice::Balancer;
 use crate::interface::{Health, Micros, OriginSight, Phase, Sight};
@@ -22,6 +22,29 @@
         })
     }
 
+    /// How many things each of its tables holds. What has a fixed size (limits, the sketch of popular keys) is none.
+    pub fn sizes(&self) -> [(&'static str, usize); 15] {
+        let [slots, placed, keys, changes] = self.servers.sizes();
+        let attempts = self.open.values().chain(self.lingering.values()).map(|o| o.attempts.len()).sum();
+        [
+            ("module.requests", self.open.len()),
+            ("module.attempts", attempts),
+            ("module.lingering", self.lingering.len()),
+            ("module.fetches", self.fetches.len()),
+            ("module.fetches_waiting", self.fetches.values().map(|w| w.len()).sum()),
+            ("module.origin_queue", self.queue.len()),
+            ("module.turns", self.turns.len()),
+            ("module.turns_waiting", self.turns.values().map(|t| t.queue.len()).sum()),
+            ("module.servers", self.servers.values().count()),
+            ("module.server_slots", slots),
+            ("module.zones", self.zones.len()),
+            ("module.tenants", self.tenants.len()),
+            ("placement.nodes", placed),
+            ("placement.keys", keys),
+            ("placement.changes", changes),
+        ]
+    }
+
     /// What it makes of the origin, if one is listed.
     pub fn origin_sight(&self, now: Micros) -> Option<OriginSight> {
         let well = |s: &Server| s.weight > 0.0 && s.evictions == 0 && !self.hangs(now, s);
