--- a/crates/world/src/clients/traffic.rs
+++ b/crates/world/src/clients/traffic.rs
@@ -79,10 +79,14 @@
         self.rate * wave * times * surges * fallen.product::<f64>()
     }
 
-    /// No rate from now until the end of the run exceeds this one.
+    /// No rate of the run exceeds this one. What rises it together is on at the beginning of one of the changes.
     pub fn most(&self) -> f64 {
-        let rises = self.changes.iter().map(|c| c.times.max(1.0));
-        self.rate * (1.0 + self.swing) * rises.product::<f64>()
+        let rises = |at: Micros| -> f64 {
+            let on = self.changes.iter().filter(|c| (c.from..c.until).contains(&at));
+            on.map(|c| c.times.max(1.0)).product()
+        };
+        let most = self.changes.iter().map(|c| rises(c.from)).fold(1.0, f64::max);
+        self.rate * (1.0 + self.swing) * most
     }
 
     /// The tenant that a number in [0, 1) draws; 0 where there are none.
