--- a/crates/world/tests/scenario.rs
+++ b/crates/world/tests/scenario.rs
@@ -59,6 +59,8 @@
     assert_eq!(with(hang.clone()), "faults[0]: hang wants one of node, nodes and part");
     let hang = Fault { nodes: Some(1), ..hang };
     assert_eq!(with(Fault { times: Some(2.0), ..hang.clone() }), "faults[0].times: hang has no times");
+    let both = Fault { proxy: Some(0), part: Some(0.5), ..Fault::new(FaultKind::ProxyCrash, 1.0, 0.0) };
+    assert_eq!(with(both), "faults[0]: proxy_crash wants proxy or part, not both");
     assert!(with(Fault { for_s: 0.0, ..hang.clone() }).starts_with("faults[0].for_s: "));
     assert_eq!(
         with(Fault { node: Some(9), nodes: None, ..hang }),
