Name what befalls a fleet, and draw a schedule's plan before its start

Need: faults of links and processes in words that tools can move, shorten and drop without knowing their kind. Change: the vocabulary, schedules, their plan and their draw; shrinking and tokens serve scenarios and schedules alike.

--- a/crates/lab/src/commands/check.rs
+++ b/crates/lab/src/commands/check.rs
@@ -3,6 +3,7 @@
 use super::{output, CommandError, Finding};
 use crate::input::file;
 use std::path::PathBuf;
+use world::scenario::Scenario;
 
 #[derive(Debug, clap::Args)]
 pub struct Check {
@@ -16,7 +17,7 @@
     pub fn carry_out(self) -> Result<Finding, CommandError> {
         let mut wrong = false;
         for path in &self.files {
-            match file::read(path) {
+            match file::read::<Scenario>(path) {
                 Ok(s) => {
                     let nodes: u64 = s.nodes.iter().map(|group| u64::from(group.count)).sum();
                     output::say(&format!(
--- a/crates/lab/src/input/file.rs
+++ b/crates/lab/src/input/file.rs
@@ -1,9 +1,12 @@
-//! Scenario files: from a TOML file to a checked scenario, or to one line that says where it is wrong.
+//! Scenario files, and those of schedules for fleets: from a TOML file to what it says, checked, or to one line that
+//! tells where it is wrong.
 
 use super::place::Places;
 use super::setting::{apply, Setting, SettingError};
+use serde::de::DeserializeOwned;
 use std::path::Path;
-use world::scenario::Scenario;
+use world::fleet::schedule::Schedule;
+use world::scenario::{Problem, Scenario};
 
 /// The largest file that is read: scenarios are a few kilobytes.
 const LARGEST: u64 = 1 << 20;
@@ -19,8 +22,36 @@
     Setting(#[from] SettingError),
 }
 
-/// Reads and checks a file; a scenario without a name gets the file's.
-pub fn read(path: &Path) -> Result<Scenario, FileError> {
+/// What a file can hold.
+pub trait Checked: DeserializeOwned {
+    /// What types cannot say of it.
+    fn check(&self) -> Result<(), Problem>;
+
+    fn name(&mut self) -> &mut String;
+}
+
+impl Checked for Scenario {
+    fn check(&self) -> Result<(), Problem> {
+        self.validate()
+    }
+
+    fn name(&mut self) -> &mut String {
+        &mut self.name
+    }
+}
+
+impl Checked for Schedule {
+    fn check(&self) -> Result<(), Problem> {
+        self.validate()
+    }
+
+    fn name(&mut self) -> &mut String {
+        &mut self.name
+    }
+}
+
+/// Reads and checks a file; what has no name gets the file's.
+pub fn read<T: Checked>(path: &Path) -> Result<T, FileError> {
     let file = path.display().to_string();
     let unreadable = |wanted: String| FileError::Unreadable { file: file.clone(), wanted };
     let size = std::fs::metadata(path).map_err(|e| unreadable(e.to_string()))?.len();
@@ -54,11 +85,11 @@
     Ok(changed)
 }
 
-/// The scenario of a text, or the line and what is wanted there.
-pub fn parse(text: &str, name: &str) -> Result<Scenario, (usize, String)> {
+/// What a text says, or the line and what is wanted there.
+pub fn parse<T: Checked>(text: &str, name: &str) -> Result<T, (usize, String)> {
     let places = Places::of(text);
-    let mut scenario: Scenario = match toml::from_str(text) {
-        Ok(scenario) => scenario,
+    let mut whole: T = match toml::from_str(text) {
+        Ok(whole) => whole,
         Err(e) => {
             let at = e.span().map(|span| span.start);
             let path = at.map_or("", |at| places.path_at(at));
@@ -67,11 +98,11 @@
             return Err((at.map_or(1, |at| places.line_at(at)), wanted));
         }
     };
-    scenario.validate().map_err(|p| (places.line_of(&dotted(&p.path)), one_line(&p.to_string())))?;
+    whole.check().map_err(|p| (places.line_of(&dotted(&p.path)), one_line(&p.to_string())))?;
     if places.is_absent("name") && !name.is_empty() {
-        scenario.name = name.to_owned();
+        *whole.name() = name.to_owned();
     }
-    Ok(scenario)
+    Ok(whole)
 }
 
 /// `faults[1].at_s` as `faults.1.at_s`.
@@ -109,15 +140,15 @@
         #[case] line: usize,
         #[case] wanted: &str,
     ) {
-        let (at, message) = parse(text, "x").unwrap_err();
+        let (at, message) = parse::<Scenario>(text, "x").unwrap_err();
         assert_eq!(at, line, "{message}");
         assert!(message.starts_with(wanted) && !message.contains('\n'), "{message}");
     }
 
     #[test]
     fn a_scenario_without_a_name_gets_the_files() {
-        assert_eq!(parse("seconds = 5", "calm").unwrap().name, "calm");
-        assert_eq!(parse("name = \"quiet\"", "calm").unwrap().name, "quiet");
+        assert_eq!(parse::<Scenario>("seconds = 5", "calm").unwrap().name, "calm");
+        assert_eq!(parse::<Scenario>("name = \"quiet\"", "calm").unwrap().name, "quiet");
     }
 
     #[test]
--- a/crates/lab/src/search/shrink.rs
+++ b/crates/lab/src/search/shrink.rs
@@ -1,4 +1,4 @@
-//! From a failing scenario to a small one that fails in the same way.
+//! From a failing scenario, or schedule of a fleet, to a small one that fails in the same way.
 //!
 //! Greedy, after Zeller and Hildebrandt, "Simplifying and isolating failure-inducing input" (IEEE TSE 28(2),
 //! 2002): try smaller ones in a fixed order, keep each that still fails, stop when none does. With at most a
@@ -9,16 +9,50 @@
 use super::draw::is_fair;
 use world::scenario::{Fault, Scenario};
 
-/// Makes `scenario` smaller for as long as `fails` says yes, with at most `calls` calls of it. The scenario
+/// What can be made smaller: faults over some time, and a world that they strike.
+pub trait Shrink: Clone + PartialEq {
+    type Fault: Timed;
+
+    fn seconds(&mut self) -> &mut f64;
+
+    fn faults(&mut self) -> &mut Vec<Self::Fault>;
+
+    /// Whether it may be played: valid, and fair to what is under test.
+    fn is_right(&self) -> bool;
+
+    /// Tries fewer of whatever else there is. Called once a round, when the faults are as few as they get.
+    fn smaller(search: &mut Search<'_, Self>);
+}
+
+/// A fault, as far as it can be moved, shortened and softened.
+pub trait Timed {
+    fn at_s(&mut self) -> &mut f64;
+
+    /// Left alone where it is 0.
+    fn for_s(&mut self) -> &mut f64;
+
+    fn down_s(&mut self) -> &mut Option<f64>;
+
+    fn every_s(&mut self) -> &mut Option<f64>;
+
+    /// How many it strikes, where that is a number.
+    fn struck(&mut self) -> Option<&mut u32>;
+
+    /// Whether it lasts for a time.
+    fn lasts(&self) -> bool;
+}
+
+/// Makes `whole` smaller for as long as `fails` says yes, with at most `calls` calls of it. The whole
 /// itself must fail; it is not tried again. `ends_s` is when the failure had happened, and guides the cut in time.
-pub fn shrink(
-    scenario: &Scenario,
+pub fn shrink<S: Shrink>(
+    whole: &S,
     ends_s: f64,
     calls: usize,
-    mut fails: impl FnMut(&Scenario) -> bool,
-) -> Scenario {
-    let mut search =
-        Search { best: scenario.clone(), longest: scenario.seconds, left: calls, fails: &mut fails };
+    mut fails: impl FnMut(&S) -> bool,
+) -> S {
+    let mut best = whole.clone();
+    let longest = *best.seconds();
+    let mut search = Search { best, longest, left: calls, fails: &mut fails };
     // What is dropped first saves the most time for what follows.
     search.shorten(ends_s);
     loop {
@@ -27,30 +61,30 @@
         search.shorten(ends_s);
         search.bring_forward();
         search.soften_faults();
-        search.fewer_clients();
-        search.smaller_world();
+        S::smaller(&mut search);
         if search.left == 0 || search.best == before {
             return search.best;
         }
     }
 }
 
-struct Search<'a> {
-    best: Scenario,
-    /// Seconds of the scenario to begin with.
+/// The smallest one so far, and how to find a smaller one.
+pub struct Search<'a, S> {
+    best: S,
+    /// Seconds to begin with.
     longest: f64,
     left: usize,
-    fails: &'a mut dyn FnMut(&Scenario) -> bool,
+    fails: &'a mut dyn FnMut(&S) -> bool,
 }
 
 fn tenths(x: f64) -> f64 {
     (x * 10.0).round() / 10.0
 }
 
-impl Search<'_> {
-    /// Keeps `smaller` if it is another, valid and fair scenario that fails too.
-    fn keep(&mut self, smaller: Scenario) -> bool {
-        if self.left == 0 || smaller == self.best || smaller.validate().is_err() || !is_fair(&smaller) {
+impl<S: Shrink> Search<'_, S> {
+    /// Keeps `smaller` if it is another, valid and fair one that fails too.
+    fn keep(&mut self, smaller: S) -> bool {
+        if self.left == 0 || smaller == self.best || !smaller.is_right() {
             return false;
         }
         self.left -= 1;
@@ -61,18 +95,28 @@
         kept
     }
 
-    fn with(&mut self, change: impl FnOnce(&mut Scenario)) -> bool {
+    /// The smallest one so far.
+    pub fn best(&self) -> &S {
+        &self.best
+    }
+
+    /// Keeps the best one with a change, if that still fails.
+    pub fn with(&mut self, change: impl FnOnce(&mut S)) -> bool {
         let mut smaller = self.best.clone();
         change(&mut smaller);
         self.keep(smaller)
     }
 
+    fn count(&mut self) -> usize {
+        self.best.faults().len()
+    }
+
     /// Each fault in turn, the last first: what came after the failure goes at once.
     fn drop_faults(&mut self) {
         loop {
             let mut dropped = false;
-            for i in (0..self.best.faults.len()).rev() {
-                dropped |= self.with(|s| drop(s.faults.remove(i))) || self.drop_and_stretch(i);
+            for i in (0..self.count()).rev() {
+                dropped |= self.with(|s| drop(s.faults().remove(i))) || self.drop_and_stretch(i);
             }
             if !dropped {
                 return;
@@ -85,14 +129,16 @@
     fn drop_and_stretch(&mut self, i: usize) -> bool {
         let seconds = self.longest;
         self.with(|s| {
-            s.faults.remove(i);
-            s.seconds = seconds;
-            for fault in &mut s.faults {
-                if fault.kind.reads().lasts {
-                    (fault.at_s, fault.for_s) = (0.0, seconds);
+            s.faults().remove(i);
+            *s.seconds() = seconds;
+            for fault in s.faults() {
+                if fault.lasts() {
+                    (*fault.at_s(), *fault.for_s()) = (0.0, seconds);
                 } else {
-                    fault.at_s = tenths(fault.at_s.min(seconds / 4.0));
-                    fault.down_s = fault.down_s.map(|down| down.max(6.0));
+                    let at = fault.at_s();
+                    *at = tenths(at.min(seconds / 4.0));
+                    let down = fault.down_s();
+                    *down = down.map(|down| down.max(6.0));
                 }
             }
         })
@@ -101,26 +147,26 @@
     /// To just after the failure, then by tenths of what is left.
     fn shorten(&mut self, ends_s: f64) {
         let end = tenths(ends_s + 0.05).max(0.1);
-        if end < self.best.seconds {
-            self.with(|s| s.seconds = end);
+        if end < *self.best.seconds() {
+            self.with(|s| *s.seconds() = end);
         }
         for part in [0.25, 0.5, 0.75, 0.9] {
-            while self.with(|s| s.seconds = tenths(s.seconds * part).max(0.1)) {}
+            while self.with(|s| *s.seconds() = tenths(*s.seconds() * part).max(0.1)) {}
         }
     }
 
     /// All faults earlier, and the end with them.
     fn bring_forward(&mut self) {
-        let first = self.best.faults.iter().map(|f| f.at_s).fold(f64::INFINITY, f64::min);
+        let first = self.best.faults().iter_mut().map(|f| *f.at_s()).fold(f64::INFINITY, f64::min);
         for part in [1.0, 0.5, 0.25] {
             let by = tenths(first * part);
             if !by.is_finite() || by <= 0.0 {
                 return;
             }
-            let moved = |s: &mut Scenario, end: bool| {
-                s.faults.iter_mut().for_each(|f| f.at_s = tenths(f.at_s - by));
+            let moved = |s: &mut S, end: bool| {
+                s.faults().iter_mut().for_each(|f| *f.at_s() = tenths(*f.at_s() - by));
                 if end {
-                    s.seconds = tenths(s.seconds - by).max(0.1);
+                    *s.seconds() = tenths(*s.seconds() - by).max(0.1);
                 }
             };
             if self.with(|s| moved(s, true)) || self.with(|s| moved(s, false)) {
@@ -131,58 +177,98 @@
 
     /// Each fault by itself: earlier, shorter, at fewer nodes.
     fn soften_faults(&mut self) {
-        for i in 0..self.best.faults.len() {
+        for i in 0..self.count() {
             let fault =
-                |s: &mut Scenario, change: &dyn Fn(&mut Fault)| s.faults.get_mut(i).map_or((), change);
-            while self.with(|s| fault(s, &|f| f.at_s = tenths(f.at_s / 2.0))) {}
+                |s: &mut S, change: &dyn Fn(&mut S::Fault)| s.faults().get_mut(i).map_or((), change);
+            while self.with(|s| fault(s, &|f| *f.at_s() = tenths(*f.at_s() / 2.0))) {}
             for part in [0.25, 0.5, 0.8] {
-                while self.with(|s| fault(s, &|f| f.for_s = tenths(f.for_s * part))) {}
+                while self.with(|s| fault(s, &|f| *f.for_s() = tenths(*f.for_s() * part))) {}
             }
             // From the front, so that what is left can be brought forward.
             while self.with(|s| {
                 fault(s, &|f| {
-                    let cut = tenths(f.for_s / 2.0);
-                    (f.at_s, f.for_s) = (tenths(f.at_s + cut), tenths(f.for_s - cut));
+                    let cut = tenths(*f.for_s() / 2.0);
+                    *f.for_s() = tenths(*f.for_s() - cut);
+                    *f.at_s() = tenths(*f.at_s() + cut);
                 })
             }) {}
-            self.halve(i, |f| &mut f.down_s);
-            self.halve(i, |f| &mut f.every_s);
-            self.with(|s| fault(s, &|f| f.nodes = f.nodes.map(|_| 1)));
-            while self.with(|s| fault(s, &|f| f.nodes = f.nodes.map(|n| n.div_ceil(2)))) {}
+            self.halve(i, Timed::down_s);
+            self.halve(i, Timed::every_s);
+            self.with(|s| fault(s, &|f| f.struck().map_or((), |n| *n = 1)));
+            while self.with(|s| fault(s, &|f| f.struck().map_or((), |n| *n = n.div_ceil(2)))) {}
         }
     }
 
-    fn halve(&mut self, i: usize, time: fn(&mut Fault) -> &mut Option<f64>) {
-        let half = |fault: &mut Fault| {
+    fn halve(&mut self, i: usize, time: fn(&mut S::Fault) -> &mut Option<f64>) {
+        let half = |fault: &mut S::Fault| {
             let time = time(fault);
             *time = time.map(|t| tenths(t / 2.0));
         };
-        while self.with(|s| s.faults.get_mut(i).map_or((), half)) {}
+        while self.with(|s| s.faults().get_mut(i).map_or((), half)) {}
     }
+}
 
-    fn fewer_clients(&mut self) {
-        for part in [0.1, 0.5, 0.8] {
-            while self.with(|s| s.clients.rate_per_s = (s.clients.rate_per_s * part).ceil()) {}
-        }
+impl Timed for Fault {
+    fn at_s(&mut self) -> &mut f64 {
+        &mut self.at_s
     }
 
-    /// Fewer proxies and nodes. The last of them go first; a fault that names one of these keeps it.
-    fn smaller_world(&mut self) {
-        self.with(|s| s.proxies.count = 1);
-        while self.with(|s| s.proxies.count = (s.proxies.count / 2).max(1)) {}
-        for i in (0..self.best.nodes.len()).rev() {
-            if self.best.nodes.len() > 1 {
-                self.with(|s| drop(s.nodes.remove(i)));
+    fn for_s(&mut self) -> &mut f64 {
+        &mut self.for_s
+    }
+
+    fn down_s(&mut self) -> &mut Option<f64> {
+        &mut self.down_s
+    }
+
+    fn every_s(&mut self) -> &mut Option<f64> {
+        &mut self.every_s
+    }
+
+    fn struck(&mut self) -> Option<&mut u32> {
+        self.nodes.as_mut()
+    }
+
+    fn lasts(&self) -> bool {
+        self.kind.reads().lasts
+    }
+}
+
+impl Shrink for Scenario {
+    type Fault = Fault;
+
+    fn seconds(&mut self) -> &mut f64 {
+        &mut self.seconds
+    }
+
+    fn faults(&mut self) -> &mut Vec<Fault> {
+        &mut self.faults
+    }
+
+    fn is_right(&self) -> bool {
+        self.validate().is_ok() && is_fair(self)
+    }
+
+    /// Fewer clients, proxies and nodes. The last of them go first; a fault that names one of these keeps it.
+    fn smaller(search: &mut Search<'_, Self>) {
+        for part in [0.1, 0.5, 0.8] {
+            while search.with(|s| s.clients.rate_per_s = (s.clients.rate_per_s * part).ceil()) {}
+        }
+        search.with(|s| s.proxies.count = 1);
+        while search.with(|s| s.proxies.count = (s.proxies.count / 2).max(1)) {}
+        for i in (0..search.best().nodes.len()).rev() {
+            if search.best().nodes.len() > 1 {
+                search.with(|s| drop(s.nodes.remove(i)));
             }
         }
-        for i in 0..self.best.nodes.len() {
+        for i in 0..search.best().nodes.len() {
             let count = |s: &mut Scenario, to: &dyn Fn(u32) -> u32| {
                 if let Some(group) = s.nodes.get_mut(i) {
                     group.count = to(group.count);
                 }
             };
-            while self.with(|s| count(s, &|n| n.div_ceil(2))) {}
-            while self.with(|s| count(s, &|n| n.saturating_sub(1).max(1))) {}
+            while search.with(|s| count(s, &|n| n.div_ceil(2))) {}
+            while search.with(|s| count(s, &|n| n.saturating_sub(1).max(1))) {}
         }
     }
 }
--- a/crates/lab/src/search/token.rs
+++ b/crates/lab/src/search/token.rs
@@ -1,6 +1,6 @@
 //! Tokens: a failing run as one word to copy, with all that is needed to play it again.
 //!
-//! A token is `lab` and its version, then in base32 (RFC 4648, small letters) the deflated (RFC 1951) content and
+//! A token is `lab` (`fleet` for a schedule of a fleet) and its version, then in base32 (RFC 4648, small letters) the deflated (RFC 1951) content and
 //! its CRC-32. The content holds the seed and how the scenario differs from the default one, as a JSON merge
 //! patch (RFC 7396, but for lists of tables, which go by element: those past the end of the default list differ
 //! from its last one). Only differences, so that a token fits in a line; in return it holds a checksum of the
@@ -8,12 +8,13 @@
 //! the scenario file that `lab search --out` writes where a failure has to outlive such a change.
 
 use data_encoding::{Encoding, Specification};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::sync::LazyLock;
+use world::fleet::schedule::Schedule;
 use world::scenario::Scenario;
 
-const PREFIX: &str = "lab1";
 /// Longest content of a token once inflated; a scenario is a few kilobytes.
 const LONGEST: usize = 256 * 1024;
 /// Elements of a list in a token at most; scenarios bound theirs further down.
@@ -27,10 +28,24 @@
     spec.encoding().unwrap_or(data_encoding::BASE32_NOPAD)
 });
 
+/// What a token can hold.
+pub trait Sealed: Default + Serialize + DeserializeOwned {
+    /// Its beginning: letters, then the version.
+    const PREFIX: &'static str;
+}
+
+impl Sealed for Scenario {
+    const PREFIX: &'static str = "lab1";
+}
+
+impl Sealed for Schedule {
+    const PREFIX: &'static str = "fleet1";
+}
+
 /// A run to play again.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Token {
-    pub scenario: Scenario,
+pub struct Token<S = Scenario> {
+    pub scenario: S,
     pub seed: u64,
     /// The planted fault that the proxies carried, by its name.
     pub plant: Option<String>,
@@ -39,10 +54,10 @@
 /// What is wrong with a token.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum TokenError {
-    #[error("not a token: it should begin with {PREFIX}")]
-    Foreign,
-    #[error("a token of another version of the lab: {0}, this one reads {PREFIX}")]
-    Version(String),
+    #[error("not a token: it should begin with {0}")]
+    Foreign(&'static str),
+    #[error("a token of another version of the lab: {0}, this one reads {1}")]
+    Version(String, &'static str),
     #[error("a damaged token: {0}")]
     Damaged(&'static str),
     #[error("a token of a lab with other defaults for scenarios; play the scenario file instead")]
@@ -57,7 +72,7 @@
     patch: String,
 }
 
-fn tree(scenario: &Scenario) -> Value {
+fn tree(scenario: &impl Serialize) -> Value {
     serde_json::to_value(scenario).unwrap_or(Value::Null)
 }
 
@@ -65,10 +80,10 @@
     crc32fast::hash(defaults.to_string().as_bytes())
 }
 
-impl Token {
+impl<S: Sealed> Token<S> {
     /// The token as a word.
     pub fn write(&self) -> String {
-        let defaults = tree(&Scenario::default());
+        let defaults = tree(&S::default());
         let patch = difference(&defaults, &tree(&self.scenario)).unwrap_or(Value::Object(Default::default()));
         let content = Content {
             defaults: checksum(&defaults),
@@ -76,19 +91,21 @@
             plant: self.plant.clone(),
             patch: patch.to_string(),
         };
-        seal(&content)
+        seal(S::PREFIX, &content)
     }
 
     /// The run that a word stands for. White space round it, and capitals, do no harm.
     pub fn read(word: &str) -> Result<Self, TokenError> {
         let word = word.trim();
-        let head = word.get(..PREFIX.len()).ok_or(TokenError::Foreign)?.to_ascii_lowercase();
-        if head != PREFIX {
-            let other = head.starts_with("lab") && head.ends_with(|c: char| c.is_ascii_digit());
-            return Err(if other { TokenError::Version(head) } else { TokenError::Foreign });
+        let foreign = || TokenError::Foreign(S::PREFIX);
+        let head = word.get(..S::PREFIX.len()).ok_or_else(foreign)?.to_ascii_lowercase();
+        if head != S::PREFIX {
+            let letters = S::PREFIX.trim_end_matches(|c: char| c.is_ascii_digit());
+            let other = head.starts_with(letters) && head.ends_with(|c: char| c.is_ascii_digit());
+            return Err(if other { TokenError::Version(head, S::PREFIX) } else { foreign() });
         }
         let damaged = TokenError::Damaged;
-        let bytes = BASE32.decode(&word.as_bytes()[PREFIX.len()..]);
+        let bytes = BASE32.decode(&word.as_bytes()[S::PREFIX.len()..]);
         let bytes = bytes.map_err(|_| damaged("a letter or its length is wrong"))?;
         let (packed, sum) = bytes.split_last_chunk::<4>().ok_or(damaged("it is too short"))?;
         if crc32fast::hash(packed) != u32::from_le_bytes(*sum) {
@@ -97,25 +114,25 @@
         let plain = miniz_oxide::inflate::decompress_to_vec_with_limit(packed, LONGEST)
             .map_err(|_| damaged("it cannot be unpacked"))?;
         let content: Content = postcard::from_bytes(&plain).map_err(|_| damaged("it cannot be read"))?;
-        let mut whole = tree(&Scenario::default());
+        let mut whole = tree(&S::default());
         if checksum(&whole) != content.defaults {
             return Err(TokenError::OtherDefaults);
         }
         let patch: Value =
             serde_json::from_str(&content.patch).map_err(|_| damaged("its scenario cannot be read"))?;
         merge(&mut whole, patch);
-        let scenario = Scenario::deserialize(&whole).map_err(|_| damaged("its scenario cannot be read"))?;
+        let scenario = S::deserialize(&whole).map_err(|_| damaged("its scenario cannot be read"))?;
         Ok(Token { scenario, seed: content.seed, plant: content.plant })
     }
 }
 
-fn seal(content: &Content) -> String {
+fn seal(prefix: &str, content: &Content) -> String {
     // Writing to a vector has no way to fail; an empty content would be a damaged token, not a wrong one.
     let plain = postcard::to_allocvec(content).unwrap_or_default();
     let mut bytes = miniz_oxide::deflate::compress_to_vec(&plain, 9);
     let sum = crc32fast::hash(&bytes);
     bytes.extend(sum.to_le_bytes());
-    format!("{PREFIX}{}", BASE32.encode(&bytes))
+    format!("{prefix}{}", BASE32.encode(&bytes))
 }
 
 /// The patch that turns `from` into `to`, `None` where they are alike.
@@ -179,6 +196,12 @@
     use super::*;
     use world::scenario::{Fault, FaultKind};
 
+    const PREFIX: &str = Scenario::PREFIX;
+
+    fn read(word: &str) -> Result<Token, TokenError> {
+        Token::read(word)
+    }
+
     fn token() -> Token {
         let mut scenario = Scenario { name: "hang".into(), seconds: 12.3, ..Scenario::default() };
         scenario.clients.rate_per_s = 0.1 + 0.2;
@@ -191,8 +214,8 @@
     #[test]
     fn a_token_is_read_as_it_was_written_also_in_capitals() {
         let word = token().write();
-        assert_eq!(Token::read(&word), Ok(token()));
-        assert_eq!(Token::read(&format!(" {}\n", word.to_ascii_uppercase())), Ok(token()));
+        assert_eq!(read(&word), Ok(token()));
+        assert_eq!(read(&format!(" {}\n", word.to_ascii_uppercase())), Ok(token()));
         assert!(word.len() < 400, "fits in a few lines of a terminal: {}", word.len());
     }
 
@@ -203,27 +226,27 @@
             let mut other = word.clone().into_bytes();
             other[i] = if other[i] == b'a' { b'b' } else { b'a' };
             let other = String::from_utf8(other).unwrap();
-            assert!(Token::read(&other).is_err(), "letter {i} changed");
+            assert!(read(&other).is_err(), "letter {i} changed");
             let mut lost = word.clone();
             lost.remove(i);
-            assert!(Token::read(&lost).is_err(), "letter {i} lost");
+            assert!(read(&lost).is_err(), "letter {i} lost");
         }
     }
 
     #[test]
     fn what_is_no_token_is_told_apart_from_one_of_another_version() {
         for word in ["", "lab", "la\u{e9}x", "hello there", "LABXabc"] {
-            assert_eq!(Token::read(word), Err(TokenError::Foreign), "{word}");
+            assert_eq!(read(word), Err(TokenError::Foreign(PREFIX)), "{word}");
         }
-        assert_eq!(Token::read("lab7abcd"), Err(TokenError::Version("lab7".into())));
-        assert!(matches!(Token::read("lab1"), Err(TokenError::Damaged(_))));
+        assert_eq!(read("lab7abcd"), Err(TokenError::Version("lab7".into(), PREFIX)));
+        assert!(matches!(read("lab1"), Err(TokenError::Damaged(_))));
     }
 
     #[test]
     fn a_token_from_other_defaults_is_turned_away() {
         let content = Content { defaults: 0xdead_beef, seed: 1, plant: None, patch: "{}".into() };
-        let word = seal(&content);
-        assert_eq!(Token::read(&word), Err(TokenError::OtherDefaults));
+        let word = seal(PREFIX, &content);
+        assert_eq!(read(&word), Err(TokenError::OtherDefaults));
     }
 
     #[test]
@@ -238,4 +261,13 @@
         assert_eq!(patched, wanted);
         assert_eq!(patch["l"], serde_json::json!({"length": 2, "0": {"x": 4}, "1": {"y": [1]}}));
     }
+
+    #[test]
+    fn a_schedule_of_a_fleet_has_tokens_of_its_own() {
+        let schedule = Schedule { name: "cut".into(), seconds: 4.2, ..Schedule::default() };
+        let token = Token { scenario: schedule, seed: 7, plant: None };
+        let word = token.write();
+        assert_eq!(Token::<Schedule>::read(&word), Ok(token));
+        assert_eq!(read(&word), Err(TokenError::Foreign(PREFIX)));
+    }
 }
--- /dev/null
+++ b/crates/world/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! A fleet of processes and what befalls the links between them: words, plans and models, for whichever host plays
+//! them. `lab::fleet` plays them on loopback with real processes.
+//!
+//! No I/O, no clock and no randomness but from seeds.
+
+pub mod draw;
+pub mod fault;
+pub mod schedule;
+pub mod truth;
--- /dev/null
+++ b/crates/world/src/fleet/truth.rs
@@ -0,0 +1,248 @@
+//! What a plan makes true: when a link lets nothing through, a process does not run, a node answers nobody. Views of
+//! processes are held against it.
+//!
+//! Only what is certain is told: a link that loses a third of its packets still carries a word, and a node behind it
+//! may or may not be found silent.
+
+use super::fault::Role;
+use super::link::Condition;
+use super::schedule::{Act, Action, NodeAct, Plan, Step};
+use crate::Micros;
+use std::collections::BTreeMap;
+
+/// Spans of time, apart and in order: from, and until, which is [`Micros::MAX`] where it never ends.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spans(Vec<(Micros, Micros)>);
+
+impl Spans {
+    fn add(&mut self, from: Micros, until: Micros) {
+        if from < until {
+            self.0.push((from, until));
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        self.0.sort_unstable();
+        let mut apart: Vec<(Micros, Micros)> = Vec::with_capacity(self.0.len());
+        for (from, until) in self.0.drain(..) {
+            match apart.last_mut() {
+                Some((_, end)) if *end >= from => *end = (*end).max(until),
+                _ => apart.push((from, until)),
+            }
+        }
+        self.0 = apart;
+    }
+
+    /// What is in either.
+    pub fn or(mut self, other: &Spans) -> Spans {
+        self.0.extend(&other.0);
+        self.settle();
+        self
+    }
+
+    /// What is in both.
+    pub fn and(&self, other: &Spans) -> Spans {
+        let mut both = Spans::default();
+        for (a, b) in &self.0 {
+            let meet = other.0.iter().map(|(c, d)| (*a.max(c), *b.min(d))).filter(|(x, y)| x < y);
+            both.0.extend(meet);
+        }
+        both.settle();
+        both
+    }
+
+    /// Whether all of this time is in it.
+    pub fn hold(&self, from: Micros, until: Micros) -> bool {
+        self.0.iter().any(|(a, b)| *a <= from && until <= *b)
+    }
+
+    /// Whether some of this time is.
+    pub fn touch(&self, from: Micros, until: Micros) -> bool {
+        self.0.iter().any(|(a, b)| *a <= until && from < *b)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Micros, Micros)> + '_ {
+        self.0.iter().copied()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+/// What is true of a plan.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// Of directions: nothing comes through; and something is wrong.
+    shut: BTreeMap<(usize, usize), Spans>,
+    troubled: BTreeMap<(usize, usize), Spans>,
+    /// Of processes: they do not run, or stand still. Of nodes: they answer nobody.
+    away: BTreeMap<usize, Spans>,
+    forwarders: Vec<usize>,
+    planners: Vec<usize>,
+}
+
+impl Truth {
+    pub fn of(plan: &Plan) -> Truth {
+        let mut truth = Truth {
+            forwarders: plan.of(Role::Forwarder).collect(),
+            planners: plan.of(Role::Planner).collect(),
+            ..Truth::default()
+        };
+        let mut conditions = BTreeMap::<(usize, usize), (Micros, Condition)>::new();
+        // Since when a process is away, in two ways that may overlap: killed, and stopped.
+        let mut gone = BTreeMap::<(usize, bool), Micros>::new();
+        let mut still = |truth: &mut Truth, who: usize, stopped: bool, at: Micros, away: bool| match away {
+            true => drop(gone.entry((who, stopped)).or_insert(at)),
+            false => {
+                if let Some(from) = gone.remove(&(who, stopped)) {
+                    truth.away.entry(who).or_default().add(from, at);
+                }
+            }
+        };
+        let never = |at| Step { at, action: Action::Reset { from: usize::MAX, to: usize::MAX } };
+        for step in plan.steps.iter().chain(std::iter::once(&never(Micros::MAX))) {
+            match &step.action {
+                Action::Link { from, to, condition } => {
+                    let before = conditions.insert((*from, *to), (step.at, condition.clone()));
+                    if let Some((since, before)) = before {
+                        truth.condition((*from, *to), since, step.at, &before);
+                    }
+                }
+                Action::Process { who, what } => match what {
+                    Act::Terminate | Act::Kill => {
+                        // What is killed stands still no more.
+                        still(&mut truth, *who, true, step.at, false);
+                        still(&mut truth, *who, false, step.at, true);
+                    }
+                    Act::Start { .. } | Act::StartLimited => still(&mut truth, *who, false, step.at, false),
+                    Act::Stop => still(&mut truth, *who, true, step.at, true),
+                    Act::Resume => still(&mut truth, *who, true, step.at, false),
+                    Act::Twin | Act::EndTwin | Act::Damage { .. } => {}
+                },
+                Action::Node { who, what } => {
+                    still(&mut truth, *who, false, step.at, *what != NodeAct::Serve);
+                }
+                Action::Reset { .. } => {}
+            }
+        }
+        for (direction, (since, condition)) in conditions {
+            truth.condition(direction, since, Micros::MAX, &condition);
+        }
+        for ((who, _), from) in gone {
+            truth.away.entry(who).or_default().add(from, Micros::MAX);
+        }
+        truth
+    }
+
+    fn condition(&mut self, direction: (usize, usize), from: Micros, until: Micros, c: &Condition) {
+        if c.cut || c.stall || c.lose >= 1.0 {
+            self.shut.entry(direction).or_default().add(from, until);
+        }
+        if *c != Condition::default() {
+            self.troubled.entry(direction).or_default().add(from, until);
+        }
+    }
+
+    /// When a process does not run or stands still, or a node answers nobody.
+    pub fn away(&self, who: usize) -> Spans {
+        self.away.get(&who).cloned().unwrap_or_default()
+    }
+
+    fn either_way(&self, of: &BTreeMap<(usize, usize), Spans>, a: usize, b: usize) -> Spans {
+        let one = |x, y| of.get(&(x, y)).cloned().unwrap_or_default();
+        one(a, b).or(&one(b, a))
+    }
+
+    /// When a forwarder certainly hears nothing of a node.
+    pub fn silent(&self, node: usize, forwarder: usize) -> Spans {
+        self.away(node).or(&self.either_way(&self.shut, forwarder, node))
+    }
+
+    /// When something may keep a forwarder from hearing a node.
+    pub fn doubtful(&self, node: usize, forwarder: usize) -> Spans {
+        self.away(node).or(&self.either_way(&self.troubled, forwarder, node)).or(&self.away(forwarder))
+    }
+
+    /// When a node is silent to all forwarders.
+    pub fn silent_to_all(&self, node: usize) -> Spans {
+        let mut all = self.forwarders.iter().map(|f| self.silent(node, *f));
+        let first = all.next().unwrap_or_default();
+        all.fold(first, |a, b| a.and(&b))
+    }
+
+    /// When something may keep some forwarder from hearing a node.
+    pub fn doubtful_to_any(&self, node: usize) -> Spans {
+        self.forwarders.iter().fold(Spans::default(), |all, f| all.or(&self.doubtful(node, *f)))
+    }
+
+    /// When a forwarder and a planner certainly do not hear each other, or one of them does not run.
+    pub fn apart(&self, planner: usize, forwarder: usize) -> Spans {
+        let shut = self.either_way(&self.shut, planner, forwarder);
+        shut.or(&self.away(planner)).or(&self.away(forwarder))
+    }
+
+    /// When something may keep a forwarder and a planner from hearing each other.
+    pub fn unsure(&self, planner: usize, forwarder: usize) -> Spans {
+        self.apart(planner, forwarder).or(&self.either_way(&self.troubled, planner, forwarder))
+    }
+
+    /// When a forwarder certainly hears no planner.
+    pub fn alone(&self, forwarder: usize) -> Spans {
+        let mut all = self.planners.iter().map(|p| self.apart(*p, forwarder));
+        match all.next() {
+            None => Spans(vec![(Micros::MIN, Micros::MAX)]),
+            Some(first) => all.fold(first, |a, b| a.and(&b)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::fault::{Fault, Kind};
+    use crate::fleet::schedule::Schedule;
+
+    fn truth(faults: Vec<Fault>) -> (Plan, Truth) {
+        let schedule = Schedule { faults, ..Schedule::default() };
+        assert_eq!(schedule.validate(), Ok(()));
+        let plan = schedule.plan(1);
+        let truth = Truth::of(&plan);
+        (plan, truth)
+    }
+
+    fn place(plan: &Plan, name: &str) -> usize {
+        plan.members.iter().position(|m| m.name == name).expect("a member")
+    }
+
+    fn spans(spans: &Spans) -> Vec<(f64, f64)> {
+        spans.iter().map(|(a, b)| (a as f64 / 1e6, b as f64 / 1e6)).collect()
+    }
+
+    #[test]
+    fn a_node_is_silent_while_it_hangs_or_its_link_is_cut_one_way_or_the_other() {
+        let hang = Fault { who: "s0".parse().ok(), ..Fault::new(Kind::Hang, 1.0, 2.0) };
+        let (from, to) = ("s0".parse().ok(), "f1".parse().ok());
+        let cut = Fault { from, to, ..Fault::new(Kind::Cut, 2.0, 4.0) };
+        let (plan, truth) = truth(vec![hang, cut]);
+        let (s0, f0, f1) = (place(&plan, "s0"), place(&plan, "f0"), place(&plan, "f1"));
+        assert_eq!(spans(&truth.silent(s0, f0)), [(1.0, 3.0)]);
+        assert_eq!(spans(&truth.silent(s0, f1)), [(1.0, 6.0)]);
+        assert_eq!(spans(&truth.silent_to_all(s0)), [(1.0, 3.0)]);
+        assert_eq!(spans(&truth.doubtful_to_any(s0)), [(1.0, 6.0)]);
+        assert!(truth.silent_to_all(place(&plan, "s1")).is_empty());
+    }
+
+    #[test]
+    fn a_forwarder_is_alone_while_no_planner_runs_or_reaches_it() {
+        let kill = Fault { who: "p0".parse().ok(), ..Fault::new(Kind::Kill, 1.0, 0.0) };
+        let pause = Fault { who: "p1".parse().ok(), ..Fault::new(Kind::Pause, 2.0, 3.0) };
+        let (from, to) = ("f0".parse().ok(), "p2".parse().ok());
+        let cut = Fault { from, to, ..Fault::new(Kind::Cut, 0.0, 4.0) };
+        let (plan, truth) = truth(vec![kill, pause, cut]);
+        assert_eq!(spans(&truth.alone(place(&plan, "f0"))), [(2.0, 4.0)]);
+        assert!(truth.alone(place(&plan, "f1")).is_empty());
+        assert!(truth.away(place(&plan, "p0")).hold(1_000_000, Micros::MAX - 1));
+    }
+}
--- a/crates/world/src/scenario/mod.rs
+++ b/crates/world/src/scenario/mod.rs
@@ -9,7 +9,7 @@
 
 mod crowd;
 mod faults;
-mod validate;
+pub(crate) mod validate;
 
 pub use crowd::{Crowd, Judge, Manner};
 pub use faults::{Fault, FaultKind, Reads};
--- a/crates/world/src/scenario/validate.rs
+++ b/crates/world/src/scenario/validate.rs
@@ -22,13 +22,13 @@
 const MOST_VALUE: f64 = 65_536.0;
 const MOST_MS: f64 = 3.6e6;
 
-type Check = Result<(), Problem>;
+pub(crate) type Check = Result<(), Problem>;
 
-fn wrong(path: impl Into<String>, wanted: impl Into<String>) -> Check {
+pub(crate) fn wrong(path: impl Into<String>, wanted: impl Into<String>) -> Check {
     Err(Problem { path: path.into(), wanted: wanted.into() })
 }
 
-fn within(path: impl Into<String>, x: f64, least: f64, most: f64) -> Check {
+pub(crate) fn within(path: impl Into<String>, x: f64, least: f64, most: f64) -> Check {
     if x.is_finite() && (least..=most).contains(&x) {
         return Ok(());
     }
@@ -43,7 +43,7 @@
     wrong(path, format!("the least comes first, then the most: [{}, {}] is the other way round", r[0], r[1]))
 }
 
-fn named(path: &str, name: &str) -> Check {
+pub(crate) fn named(path: &str, name: &str) -> Check {
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if (1..=64).contains(&name.len()) && name.chars().all(plain) {
         return Ok(());
