--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,3 @@
+//! A fleet of real processes on loopback, with faults between them. Each part says in its file what it owns.
+
+pub mod links;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod commands;
 pub mod experiment;
+pub mod fleet;
 pub mod host;
 pub mod input;
 pub mod loopback;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod facts;
+pub mod fleet;
 pub mod front;
 pub mod ledger;
 pub mod network;
