--- a/crates/lab/src/commands/demo.rs
+++ b/crates/lab/src/commands/demo.rs
@@ -29,7 +29,7 @@
 
 impl Demo {
     pub fn carry_out(self) -> Result<Finding, CommandError> {
-        let scenario = file::parse(SCENARIO, "demo")
+        let scenario: Scenario = file::parse(SCENARIO, "demo")
             .map_err(|(line, wanted)| CommandError::Usage(format!("scenarios/demo.toml:{line}: {wanted}")))?;
         let seed = scenario.seed;
         let world = World::new(&scenario, seed, ms(SLACK_MS));
