--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,6 @@
 //! Experiments with the proxy in a world of our own: the parts of the program `lab`.
 //!
-//! [`host`] is where a scenario is played; [`input`] reads what users hand in; [`experiment`] and [`search`] are
+//! [`host`] is where a scenario is played; [`fleet`] is many real processes and the faults between them; [`input`] reads what users hand in; [`experiment`] and [`search`] are
 //! what is made of many runs; [`report`] is what users get to see; [`commands`] put them together. Nothing in
 //! here is a model of the world: those are in the `world` package. `docs/lab.md` is the page for users.
 
@@ -12,6 +12,7 @@
 
 pub mod commands;
 pub mod experiment;
+pub mod fleet;
 pub mod host;
 pub mod input;
 pub mod loopback;
--- a/crates/lab/src/loopback/children/child.rs
+++ b/crates/lab/src/loopback/children/child.rs
@@ -2,10 +2,13 @@
 
 use super::{guard, Limits, Usage};
 use crate::host::HostError;
-use rustix::process::{kill_process, kill_process_group, waitid, Pid, Signal, WaitId, WaitIdOptions};
+use rustix::io::Errno;
+use rustix::process::{kill_process, kill_process_group, pidfd_open, prlimit, waitid};
+use rustix::process::{Pid, PidfdFlags, Resource, Signal, WaitId, WaitIdOptions};
 use std::collections::VecDeque;
 use std::ffi::OsString;
 use std::io::{self, BufRead, BufReader, Read};
+use std::os::fd::OwnedFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
@@ -15,34 +18,45 @@
 
 /// Lines of a log that are kept, the last ones, and bytes of a line.
 const LINES: usize = 200;
-const LINE: u64 = 4096;
+const LINE: usize = 4096;
+/// Bytes of a line that are read as one.
+pub const LONGEST: u64 = 64 << 10;
 /// Lines of the log that a message about a child's end quotes.
 const QUOTED: usize = 5;
 /// How long the last words of one that has ended are waited for.
 const HEARS_OUT: Duration = Duration::from_secs(1);
 
+/// Who has the system end a child whose lab is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Guard {
+    /// The lab's program at this place, by its hidden subcommands.
+    Lab(PathBuf),
+    /// A test program at this place, by the test of this name.
+    Test(PathBuf, String),
+    Nobody,
+}
+
 /// What is started as a proxy.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Program {
-    /// The lab's own program, whose hidden subcommands guard a child.
-    lab: Option<PathBuf>,
+    guard: Guard,
     /// `None`: the lab's own program is the proxy.
     program: Option<PathBuf>,
 }
 
 impl Program {
-    /// The proxy that is built into this very program.
+    /// The proxy that is built into this very program, which asks [`guard::asked`] before anything else.
     ///
     /// # Errors
     ///
     /// Where the system does not tell which program this is.
     pub fn own() -> io::Result<Program> {
-        Ok(Program { lab: Some(std::env::current_exe()?), program: None })
+        Ok(Program { guard: Guard::Lab(std::env::current_exe()?), program: None })
     }
 
     /// The proxy built into the lab's program, which is found at `lab`: for tests, which are programs of their own.
     pub fn of_lab(lab: &Path) -> io::Result<Program> {
-        Ok(Program { lab: Some(lab.canonicalize()?), program: None })
+        Ok(Program { guard: Guard::Lab(lab.canonicalize()?), program: None })
     }
 
     /// Another program. It is told what to do as the platform tells it: by `NODE_CONFIG` and its like.
@@ -52,30 +66,46 @@
 
     /// Another program under the guard of the lab's program, which is found at `lab`.
     pub fn guarded(lab: &Path, program: &Path) -> io::Result<Program> {
-        Ok(Program { lab: Some(lab.canonicalize()?), program: Some(program.canonicalize()?) })
+        Ok(Program { guard: Guard::Lab(lab.canonicalize()?), program: Some(program.canonicalize()?) })
     }
 
-    /// Another program without a guard: it may outlive a lab that is killed. For tests outside the lab's package,
-    /// which have none of its programs.
+    /// Another program under the guard of this test program, whose ignored test `test` is [`guard::in_a_test`]: for
+    /// tests outside the lab's package, which have none of its programs.
+    pub fn of_test(program: &Path, test: &str) -> io::Result<Program> {
+        let guard = Guard::Test(std::env::current_exe()?, test.to_owned());
+        Ok(Program { guard, program: Some(program.canonicalize()?) })
+    }
+
+    /// Another program without a guard: it may outlive a lab that is killed, and nothing limits it.
     pub fn unguarded(program: &Path) -> io::Result<Program> {
-        Ok(Program { lab: None, program: Some(program.canonicalize()?) })
+        Ok(Program { guard: Guard::Nobody, program: Some(program.canonicalize()?) })
     }
 
-    fn command(&self, limits: Limits) -> Command {
-        let parent: OsString = std::process::id().to_string().into();
-        let words = [parent, limits.descriptors.to_string().into()];
-        match (&self.lab, &self.program) {
-            (Some(lab), None) => {
+    fn command(&self, limits: Limits, arguments: &[OsString]) -> Command {
+        let program = self.program.iter().map(|p| p.into());
+        let words: Vec<OsString> = [std::process::id().to_string().into(), guard::limits(limits)]
+            .into_iter()
+            .chain(program)
+            .chain(arguments.iter().cloned())
+            .collect();
+        match &self.guard {
+            Guard::Lab(lab) => {
                 let mut command = Command::new(lab);
-                command.arg(guard::PROXY).args(words);
+                let word = if self.program.is_some() { guard::PROGRAM } else { guard::PROXY };
+                command.arg(word).args(words);
                 command
             }
-            (Some(lab), Some(program)) => {
-                let mut command = Command::new(lab);
-                command.arg(guard::PROGRAM).args(words).arg(program);
+            Guard::Test(this, test) => {
+                let mut command = Command::new(this);
+                command.args([test, "--exact", "--ignored", "--nocapture"]);
+                guard::tell(&mut command, &words);
+                command
+            }
+            Guard::Nobody => {
+                let mut command = Command::new(self.program.as_deref().unwrap_or(Path::new("martenweir")));
+                command.args(arguments);
                 command
             }
-            (None, program) => Command::new(program.as_deref().unwrap_or(Path::new("martenweir"))),
         }
     }
 }
@@ -108,24 +138,34 @@
         variables: &[(&str, String)],
         arguments: &[OsString],
     ) -> Result<Child, HostError> {
-        let mut command = program.command(limits);
-        command
-            .args(arguments)
-            .current_dir(dir)
-            .env("TMPDIR", dir)
-            .envs(variables.iter().map(|(k, v)| (k, v)));
-        Child::spawn(name, command)
+        Child::heard(name, program, limits, dir, variables, arguments, |_| {})
+    }
+
+    /// As [`Child::start`], for one whose every line goes to `hear` as well, on a thread of its own and up to
+    /// [`LONGEST`] bytes of it. `hear` is dropped once nobody can say any more.
+    pub fn heard(
+        name: &str,
+        program: &Program,
+        limits: Limits,
+        dir: &Path,
+        variables: &[(&str, String)],
+        arguments: &[OsString],
+        hear: impl FnMut(&str) + Send + 'static,
+    ) -> Result<Child, HostError> {
+        let mut command = program.command(limits, arguments);
+        command.current_dir(dir).env("TMPDIR", dir).envs(variables.iter().map(|(k, v)| (k, v)));
+        Child::spawn(name, command, hear)
             .map_err(|source| HostError::Io { what: format!("cannot start {name}"), source })
     }
 
-    fn spawn(name: &str, mut command: Command) -> io::Result<Child> {
+    fn spawn(name: &str, mut command: Command, hear: impl FnMut(&str) + Send + 'static) -> io::Result<Child> {
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         // What a terminal tells the lab (Ctrl-C) is not for its children: the lab ends them.
         command.process_group(0);
         let mut process = command.spawn()?;
         let log = Arc::<Mutex<Log>>::default();
         let (from, to) = (process.stderr.take(), log.clone());
-        let reader = thread::spawn(move || from.into_iter().for_each(|from| keep(from, &to)));
+        let reader = thread::spawn(move || keep(from, &to, hear));
         Ok(Child { name: name.to_owned(), process, ended: None, log, reader })
     }
 
@@ -181,6 +221,58 @@
         }
     }
 
+    /// Ends it at once and sees it gone.
+    pub fn end(&mut self) -> Option<ExitStatus> {
+        self.kill();
+        if self.ended.is_none() {
+            self.ended = self.process.wait().ok();
+        }
+        self.ended
+    }
+
+    /// Holds it and what it has started (SIGSTOP); returns once it stands still, or has ended.
+    pub fn stop(&mut self) {
+        if self.ended().is_some() {
+            return;
+        }
+        if let Some(pid) = self.number() {
+            let _ = kill_process_group(pid, Signal::STOP);
+            let still = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+            while let Err(Errno::INTR) = waitid(WaitId::Pid(pid), still) {}
+        }
+    }
+
+    /// Has it go on (SIGCONT).
+    pub fn resume(&mut self) {
+        if self.ended().is_none() {
+            if let Some(pid) = self.number() {
+                let _ = kill_process_group(pid, Signal::CONT);
+            }
+        }
+    }
+
+    /// Bytes that a file of its may have from now on, `u64::MAX` for any number; one that has more keeps them. For one
+    /// that was started with [`Limits::file_bytes`]: another would be ended by its next write past them.
+    ///
+    /// # Errors
+    ///
+    /// Those of prlimit(2), where it has ended as well.
+    pub fn limit_files(&mut self, bytes: u64) -> io::Result<()> {
+        let running = self.ended().is_none().then(|| self.number()).flatten();
+        let pid = running.ok_or(io::ErrorKind::NotFound)?;
+        prlimit(Some(pid), Resource::Fsize, guard::of_files(bytes))?;
+        Ok(())
+    }
+
+    /// What becomes readable at its end (pidfd_open(2)).
+    ///
+    /// # Errors
+    ///
+    /// Those of the system.
+    pub fn its_end(&self) -> io::Result<OwnedFd> {
+        Ok(pidfd_open(self.number().ok_or(io::ErrorKind::NotFound)?, PidfdFlags::empty())?)
+    }
+
     /// Waits for its end, this long at most.
     pub fn wait(&mut self, most: Duration) -> Option<ExitStatus> {
         let until = Instant::now() + most;
@@ -229,12 +321,15 @@
 }
 
 /// Reads to the end, so that the process never waits for a reader.
-fn keep(from: impl Read, log: &Mutex<Log>) {
-    let mut from = BufReader::new(from);
+fn keep(from: Option<impl Read>, log: &Mutex<Log>, mut hear: impl FnMut(&str)) {
+    let Some(mut from) = from.map(BufReader::new) else { return };
     let mut bytes = Vec::new();
-    while (&mut from).take(LINE).read_until(b'\n', &mut bytes).is_ok_and(|n| n > 0) {
-        let line = String::from_utf8_lossy(&bytes).trim_end().to_owned();
+    while (&mut from).take(LONGEST).read_until(b'\n', &mut bytes).is_ok_and(|n| n > 0) {
+        let mut line = String::from_utf8_lossy(&bytes).trim_end().to_owned();
         bytes.clear();
+        hear(&line);
+        let end = (0..=LINE.min(line.len())).rev().find(|at| line.is_char_boundary(*at));
+        line.truncate(end.unwrap_or(0));
         let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
         if log.last.len() == LINES {
             log.last.pop_front();
@@ -250,10 +345,10 @@
     fn shell(script: &str) -> Child {
         let mut command = Command::new("/bin/sh");
         command.args(["-c", script]);
-        Child::spawn("p0", command).expect("it starts")
+        Child::spawn("p0", command, |_| {}).expect("it starts")
     }
 
-    const LIMITS: Limits = Limits { memory_kb: 1 << 30, descriptors: 64 };
+    const LIMITS: Limits = Limits { memory_kb: 1 << 30, descriptors: 64, file_bytes: None };
 
     #[test]
     fn a_child_that_dies_is_told_with_its_last_words() {
--- a/crates/lab/src/loopback/children/guard.rs
+++ b/crates/lab/src/loopback/children/guard.rs
@@ -3,22 +3,35 @@
 //!
 //! Linux kills it when the thread that started it is gone (PR_SET_PDEATHSIG of prctl(2), kept across execve(2)).
 //! So the thread that starts children must live as long as they are to.
+//!
+//! A process whose files may be limited ignores SIGXFSZ, which setrlimit(2) would have end it; a program inherits that
+//! over execve(2). To ignore a signal takes a call that is not safe, so a shell makes it, on the way to the program.
 
-use rustix::process::{getppid, set_parent_process_death_signal, setrlimit, Resource, Rlimit, Signal};
+use super::Limits;
+use async_signal::{Signal as Heard, Signals};
+use rustix::process::{getppid, getrlimit, set_parent_process_death_signal, setrlimit};
+use rustix::process::{Resource, Rlimit, Signal};
 use std::ffi::OsString;
 use std::io::{self, Write};
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
+use std::sync::OnceLock;
 
 /// The hidden subcommands of the lab that a child is started with: the proxy in the lab's own program, or another
-/// program. Each is followed by the parent's process number and the most descriptors.
+/// program. Each is followed by the parent's process number and the limits ([`limits`]).
 pub const PROXY: &str = "guarded-proxy";
 pub const PROGRAM: &str = "guarded-program";
 
+/// The variables that tell the guard in a test program its words: how many, and each behind its number.
+const WORDS: &str = "LAB_GUARD_WORDS";
+
+/// What makes the shell become a program that does not hear SIGXFSZ.
+const DEAF: &str = "trap '' XFSZ; exec \"$0\" \"$@\"";
+
 /// Why a guarded process cannot begin.
 #[derive(Debug, thiserror::Error)]
 enum GuardError {
-    #[error("wanted: PARENT DESCRIPTORS [PROGRAM...]")]
+    #[error("wanted: PARENT DESCRIPTORS[,FILE_BYTES] [PROGRAM...]")]
     Usage,
     #[error("the lab has ended")]
     Orphan,
@@ -26,26 +39,57 @@
     System(&'static str, io::Error),
 }
 
-/// Binds this process to its parent and to the limit that its first two words tell; the words that are left.
-fn bind(words: impl IntoIterator<Item = OsString>) -> Result<Vec<OsString>, GuardError> {
+/// The word that tells a guard these limits: descriptors, and behind a comma the bytes of a file.
+pub(super) fn limits(limits: Limits) -> OsString {
+    let files = limits.file_bytes.map(|bytes| format!(",{bytes}")).unwrap_or_default();
+    format!("{}{files}", limits.descriptors).into()
+}
+
+/// `u64::MAX` is no limit.
+pub(super) fn of_files(bytes: u64) -> Rlimit {
+    // The hard limit stays what the lab has, which its children inherit: so it can take this one back.
+    let maximum = getrlimit(Resource::Fsize).maximum;
+    let bytes = bytes.min(maximum.unwrap_or(u64::MAX));
+    Rlimit { current: Some(bytes).filter(|b| *b < u64::MAX), maximum }
+}
+
+/// Binds this process to its parent and to the limits that its first two words tell; whether files are limited, and
+/// the words that are left.
+fn bind(words: impl IntoIterator<Item = OsString>) -> Result<(bool, Vec<OsString>), GuardError> {
     let mut words = words.into_iter();
-    let mut number = || words.next()?.to_str()?.parse::<u64>().ok();
-    let (parent, descriptors) = (number().ok_or(GuardError::Usage)?, number().ok_or(GuardError::Usage)?);
+    let mut word = || words.next()?.into_string().ok();
+    let (parent, limits) = (word().ok_or(GuardError::Usage)?, word().ok_or(GuardError::Usage)?);
+    let (descriptors, files) = match limits.split_once(',') {
+        Some((descriptors, files)) => (descriptors, Some(files)),
+        None => (&*limits, None),
+    };
+    let number = |text: &str| text.parse::<u64>().map_err(|_| GuardError::Usage);
+    let (parent, descriptors) = (number(&parent)?, number(descriptors)?);
+    let files = files.map(number).transpose()?;
     set_parent_process_death_signal(Some(Signal::KILL)).map_err(|e| GuardError::System("prctl", e.into()))?;
     // It may have ended before the line above.
     if getppid().is_none_or(|p| p.as_raw_pid() as u64 != parent) {
         return Err(GuardError::Orphan);
     }
-    let most = Rlimit { current: Some(descriptors), maximum: Some(descriptors) };
-    setrlimit(Resource::Nofile, most).map_err(|e| GuardError::System("setrlimit", e.into()))?;
-    Ok(words.collect())
+    let set = |what, limit| setrlimit(what, limit).map_err(|e| GuardError::System("setrlimit", e.into()));
+    set(Resource::Nofile, Rlimit { current: Some(descriptors), maximum: Some(descriptors) })?;
+    files.map_or(Ok(()), |bytes| set(Resource::Fsize, of_files(bytes)))?;
+    Ok((files.is_some(), words.collect()))
+}
+
+/// Has the signal heard by nobody in this process, for as long as it lives.
+fn ignore_file_limits() -> Result<(), GuardError> {
+    static HEARD: OnceLock<Signals> = OnceLock::new();
+    let signals = Signals::new([Heard::Xfsz]).map_err(|e| GuardError::System("SIGXFSZ", e))?;
+    let _ = HEARD.set(signals);
+    Ok(())
 }
 
 /// Runs as a child of the lab, if the first argument of this process says so. To be asked before anything else.
 pub fn asked() -> Option<ExitCode> {
     let mut words = std::env::args_os().skip(1);
     let why = match words.next()?.to_str()? {
-        PROXY => match bind(words) {
+        PROXY => match proxy(words) {
             // Its configuration is named in the environment, as on the platform.
             Ok(words) => return Some(martenweir::commands::main(words)),
             Err(why) => why,
@@ -57,15 +101,51 @@
     Some(ExitCode::FAILURE)
 }
 
+fn proxy(words: impl IntoIterator<Item = OsString>) -> Result<Vec<OsString>, GuardError> {
+    let (files, words) = bind(words)?;
+    if files {
+        ignore_file_limits()?;
+    }
+    Ok(words)
+}
+
 /// Becomes the program that the words after the first two name. Returns only if it cannot.
 fn become_program(words: impl IntoIterator<Item = OsString>) -> GuardError {
-    match bind(words) {
-        Err(why) => why,
-        Ok(words) => match words.split_first() {
-            None => GuardError::Usage,
-            Some((program, rest)) => {
-                GuardError::System("cannot start the proxy", Command::new(program).args(rest).exec())
-            }
-        },
+    let (files, words) = match bind(words) {
+        Ok(bound) => bound,
+        Err(why) => return why,
+    };
+    let Some((program, rest)) = words.split_first() else { return GuardError::Usage };
+    let mut command = match files {
+        true => Command::new("/bin/sh"),
+        false => Command::new(program),
+    };
+    if files {
+        command.args(["-c", DEAF]).arg(program);
+    }
+    // A test's guard is told by variables, which are not for the program.
+    for (name, _) in std::env::vars_os().filter(|(name, _)| name.to_string_lossy().starts_with(WORDS)) {
+        command.env_remove(name);
     }
+    GuardError::System("cannot start the proxy", command.args(rest).exec())
+}
+
+/// Tells a guard in a test program its words; [`in_a_test`] reads them.
+pub(super) fn tell(command: &mut Command, words: &[OsString]) {
+    command.env(WORDS, words.len().to_string());
+    for (at, word) in words.iter().enumerate() {
+        command.env(format!("{WORDS}_{at}"), word);
+    }
+}
+
+/// The guard as a test of another package, whose tests have none of the lab's programs: an ignored test that does
+/// nothing but call this. Such a package's children are started by [`super::Program::of_test`], as that test. It does
+/// nothing where nobody has started it so.
+pub fn in_a_test() {
+    let Some(words) = std::env::var(WORDS).ok().and_then(|n| n.parse::<usize>().ok()) else { return };
+    let words = (0..words).map_while(|at| std::env::var_os(format!("{WORDS}_{at}")));
+    let why = become_program(words);
+    // The test program's own standard error is captured; this is the child's.
+    let _ = writeln!(io::stderr(), "lab: {why}");
+    std::process::exit(1);
 }
--- a/crates/lab/src/loopback/children/mod.rs
+++ b/crates/lab/src/loopback/children/mod.rs
@@ -19,4 +19,8 @@
     pub memory_kb: u64,
     /// Descriptors, which the system holds it to.
     pub descriptors: u64,
+    /// Bytes that a file of its may have, `u64::MAX` where any number will do for now ([`Child::limit_files`]): it then ignores
+    /// SIGXFSZ, so that a write past the limit fails with EFBIG. `None`: it is started as any program is, and a file
+    /// limit would end it.
+    pub file_bytes: Option<u64>,
 }
--- a/crates/lab/src/loopback/cost/mod.rs
+++ b/crates/lab/src/loopback/cost/mod.rs
@@ -128,7 +128,7 @@
     let side = Held::take().map_err(system("a port for memcached clients"))?;
     let features = dir.path().join("martenweir.conf");
     std::fs::write(&features, own_file(plan, side.address())).map_err(system("the proxy's own file"))?;
-    let limits = Limits { memory_kb: u64::MAX, descriptors: 4096 };
+    let limits = Limits { memory_kb: u64::MAX, descriptors: 4096, file_bytes: None };
     let variables = [
         ("NODE_NAME", "n0".to_owned()),
         ("NODE_LISTEN", held.address().to_string()),
--- a/crates/lab/src/loopback/fleet.rs
+++ b/crates/lab/src/loopback/fleet.rs
@@ -248,7 +248,7 @@
         file.set_permissions(std::fs::Permissions::from_mode(0o755)).expect("it can be run");
         drop(file);
         let program = Program::unguarded(&path).expect("a program");
-        let limits = Limits { memory_kb: 1 << 20, descriptors: 64 };
+        let limits = Limits { memory_kb: 1 << 20, descriptors: 64, file_bytes: None };
         let (notices, _) = async_channel::unbounded();
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let executor = LocalExecutor::new();
--- a/crates/lab/src/loopback/host.rs
+++ b/crates/lab/src/loopback/host.rs
@@ -107,6 +107,7 @@
     let limits = Limits {
         memory_kb: u64::from(scenario.proxies.memory_mb) * 1024,
         descriptors: u64::from(scenario.proxies.sockets),
+        file_bytes: None,
     };
     let clock = Clock::start(FIRST);
     let mut theatre = Theatre::open(world, &addresses, &clock)?;
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -18,4 +18,5 @@
 pub mod socket;
 mod stage;
 
+pub use clock::Clock;
 pub use host::{play, Loopback, Played, Proxies, SLACK_MS};
--- a/crates/lab/tests/loopback/children.rs
+++ b/crates/lab/tests/loopback/children.rs
@@ -91,7 +91,7 @@
     let dir = tempfile::tempdir().expect("a folder");
     let sleeper = script(dir.path(), "exec sleep 600");
     let guarded = Program::guarded(Path::new(env!("CARGO_BIN_EXE_lab")), &sleeper).expect("a program");
-    let limits = Limits { memory_kb: 1 << 20, descriptors: 64 };
+    let limits = Limits { memory_kb: 1 << 20, descriptors: 64, file_bytes: None };
     let child = Child::start("n0", &guarded, limits, dir.path(), &[], &[]).expect("it starts");
     // Once it is the program and no more the guard.
     while std::fs::read_to_string(format!("/proc/{}/comm", child.pid())).is_ok_and(|c| c.trim() != "sleep") {
--- a/crates/lab/tests/loopback/scripted.rs
+++ b/crates/lab/tests/loopback/scripted.rs
@@ -5,7 +5,7 @@
 use lab::loopback::scripted::{Peer, Site};
 use world::world::World;
 
-const LIMITS: Limits = Limits { memory_kb: 1 << 20, descriptors: 256 };
+const LIMITS: Limits = Limits { memory_kb: 1 << 20, descriptors: 256, file_bytes: None };
 
 #[test]
 fn a_read_that_misses_comes_from_the_ledger_and_the_value_is_the_one_it_made() {
