--- a/crates/lab/src/commands/demo.rs
+++ b/crates/lab/src/commands/demo.rs
@@ -12,6 +12,7 @@
 use std::path::PathBuf;
 use std::time::Instant;
 use world::random::ms;
+use world::scenario::Scenario;
 use world::world::World;
 
 /// Built in, so that the demo needs no file.
