--- /dev/null
+++ b/crates/lab/src/fleet/judge.rs
@@ -0,0 +1,484 @@
+//! What must hold of a fleet, held against what was seen.
+//!
+//! Views of processes ([`super::view`]) and what clients met ([`super::stage`]) are judged against what the plan made
+//! true ([`world::fleet::truth`]), with the judges of the `history` package where these have one. Pure.
+//!
+//! | rule | |
+//! | --- | --- |
+//! | `one_outcome` | each request has one answer, unless its forwarder died or stood still |
+//! | `converged` | within a bound after the last fault all avoid nothing that answers and hear all planners that run |
+//! | `no_flapping` | marks come and go no more often than [`plan::Rules::most_changes`] allows |
+//! | `no_wrong_avoidance` | most do not avoid a node that answers them all for longer than a bound |
+//! | `kept` | no forwarder goes back to a node that is still silent to it while planners guide it |
+//! | `avoided` | where the schedule has a bound: all avoid what is silent to all within it |
+//! | `served` | where the schedule has a bound: no more requests go without a value |
+
+use super::stage::{End, Met};
+use super::view::{Now, Track, What};
+use history::converge::{self, Sample, View};
+use history::{finals, marks, Verdict};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use world::fleet::fault::Role;
+use world::fleet::schedule::{Expect, Plan};
+use world::fleet::truth::Truth;
+use world::random::seconds;
+use world::Micros;
+
+/// Whoever found a node silent may act on it for this long after it answers again: the age of evidence, of a plan's
+/// basis and the way in, with some room for a busy machine.
+const LATELY: Micros = 5_000_000;
+/// Without planners for so long of the time before, marks may fade: what stands holds 5 s and fades over 10.
+const FADES: Micros = 16_000_000;
+const UNGUIDED: Micros = 8_000_000;
+/// How late a line of a log may be read.
+const READ: Micros = 100_000;
+/// A node is surely silent to a forwarder if it has been for this long.
+const SILENT: Micros = 1_500_000;
+/// Windows in which changes of marks are counted.
+const WINDOWS: [Micros; 6] = [1_000_000, 2_000_000, 5_000_000, 10_000_000, 20_000_000, 60_000_000];
+/// Breaches of one rule that are listed.
+const LISTED: usize = 8;
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    OneOutcome,
+    Converged,
+    NoFlapping,
+    NoWrongAvoidance,
+    Kept,
+    Avoided,
+    Served,
+}
+
+impl Rule {
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneOutcome => "one_outcome",
+            Rule::Converged => "converged",
+            Rule::NoFlapping => "no_flapping",
+            Rule::NoWrongAvoidance => "no_wrong_avoidance",
+            Rule::Kept => "kept",
+            Rule::Avoided => "avoided",
+            Rule::Served => "served",
+        }
+    }
+}
+
+/// A rule that did not hold.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    /// When, since the fleet was ready.
+    pub at_s: f64,
+    pub what: String,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    pub requests: u64,
+    pub values: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Their connection broke, or no answer came in time.
+    pub unanswered: u64,
+    /// Of nodes silent to all: from then until each forwarder avoided all that fell silent at once. Sorted.
+    pub avoided_s: Vec<f64>,
+    /// Forwarders that never did.
+    pub never_avoided: u64,
+    /// Marks that began though the node had answered all for a while, over all forwarders.
+    pub wrong: u64,
+    /// The longest time for which most forwarders avoided a node that answered all.
+    pub wrong_most_s: f64,
+    /// Changes of marks, over all forwarders; and the most of one at one forwarder in any ten seconds.
+    pub changes: u64,
+    pub changes_in_10_s: u64,
+    /// From the end of the last fault until all views were right for good; none where they never were.
+    pub converged_s: Option<f64>,
+}
+
+/// All that is judged.
+pub struct Case<'a> {
+    pub plan: &'a Plan,
+    pub expect: &'a Expect,
+    pub tracks: &'a BTreeMap<String, Track>,
+    pub met: &'a [Met],
+    /// When watching ended.
+    pub until: Micros,
+    pub rules: &'a plan::Rules,
+}
+
+fn s(at: Micros) -> f64 {
+    (at as f64 / 1e3).round() / 1e3
+}
+
+/// What was measured, and what did not hold: the first few of each rule.
+pub fn judge(case: &Case<'_>) -> (Figures, Vec<Breach>) {
+    let truth = Truth::of(case.plan);
+    let mut figures = Figures::default();
+    let mut breaches = Vec::new();
+    case.outcomes(&mut figures, &mut breaches);
+    case.converged(&truth, &mut figures, &mut breaches);
+    case.flapping(&mut figures, &mut breaches);
+    case.wrong(&truth, &mut figures, &mut breaches);
+    case.kept(&truth, &mut breaches);
+    case.avoided(&truth, &mut figures, &mut breaches);
+    breaches.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    let mut counts = BTreeMap::<Rule, usize>::new();
+    breaches.retain(|b| {
+        let count = counts.entry(b.rule).or_default();
+        *count += 1;
+        *count <= LISTED
+    });
+    (figures, breaches)
+}
+
+impl Case<'_> {
+    fn track(&self, member: usize) -> Option<&Track> {
+        self.tracks.get(self.plan.name(member))
+    }
+
+    fn forwarders(&self) -> Vec<usize> {
+        self.plan.of(Role::Forwarder).collect()
+    }
+
+    fn nodes(&self) -> Vec<usize> {
+        self.plan.of(Role::Node).collect()
+    }
+
+    /// Whether a forwarder stood still, was away, or came up during this time, by its log.
+    fn disturbed(&self, forwarder: usize, from: Micros, until: Micros) -> bool {
+        let Some(track) = self.track(forwarder) else { return true };
+        let (mut was_well, mut disturbed) = (false, false);
+        let mut since = Micros::MIN;
+        for (at, now) in track.states() {
+            disturbed |= !was_well && since <= until && from <= at;
+            (was_well, since) = (now.runs && !now.stopped, at);
+        }
+        disturbed || (!was_well && since <= until)
+    }
+
+    fn outcomes(&self, figures: &mut Figures, breaches: &mut Vec<Breach>) {
+        let mut events = Vec::with_capacity(self.met.len());
+        let mut asked = BTreeMap::new();
+        let forwarders = self.forwarders();
+        for met in self.met {
+            match *met {
+                Met::Asked { id, at, forwarder } => {
+                    figures.requests += 1;
+                    asked.insert(id, (at, forwarder));
+                    events.push(finals::Event::Taken { id, at_us: at });
+                }
+                Met::Ended { id, at, end } => {
+                    let answered = finals::Event::Answered { id, at_us: at, last: true };
+                    match end {
+                        End::Value => figures.values += 1,
+                        End::Refused => figures.refused += 1,
+                        End::Failed => figures.failed += 1,
+                        End::Broken | End::Late => figures.unanswered += 1,
+                    }
+                    let (since, forwarder) = asked.get(&id).copied().unwrap_or((at, usize::MAX));
+                    let excused = || {
+                        let member = forwarders.get(forwarder).copied().unwrap_or(usize::MAX);
+                        self.disturbed(member, since - READ, at + READ)
+                    };
+                    match end {
+                        End::Value | End::Refused | End::Failed => events.push(answered),
+                        End::Broken | End::Late if excused() => {
+                            events.push(finals::Event::Released { id, at_us: at });
+                        }
+                        End::Broken | End::Late => {}
+                    }
+                }
+                Met::Stray { id, at } => {
+                    events.push(finals::Event::Answered { id, at_us: at, last: true });
+                    events.push(finals::Event::Answered { id, at_us: at, last: true });
+                }
+            }
+        }
+        let end = self.met.last().map_or(0, |m| match m {
+            Met::Asked { at, .. } | Met::Ended { at, .. } | Met::Stray { at, .. } => *at,
+        });
+        match finals::judge(&events, end) {
+            Verdict::Held(_) => {}
+            Verdict::Broken(found) => {
+                let who = |id: &u64| {
+                    let of = asked.get(id).and_then(|(_, f)| forwarders.get(*f));
+                    of.map_or("?", |f| self.plan.name(*f)).to_owned()
+                };
+                for fault in &found.first {
+                    let (at, what) = match fault {
+                        finals::Fault::Lost { id, taken_us } => {
+                            (*taken_us, format!("request {id} at {} has no answer", who(id)))
+                        }
+                        finals::Fault::AfterFinal { id, at_us, .. } => {
+                            (*at_us, format!("request {id} at {} has more than its answer", who(id)))
+                        }
+                        finals::Fault::Unasked { id, at_us } | finals::Fault::TakenTwice { id, at_us } => {
+                            (*at_us, format!("request {id}: answered without being asked"))
+                        }
+                    };
+                    breaches.push(Breach { rule: Rule::OneOutcome, at_s: s(at), what });
+                }
+            }
+            Verdict::NotDecided(why) => {
+                let what = format!("not decided: {why}");
+                breaches.push(Breach { rule: Rule::OneOutcome, at_s: s(end), what });
+            }
+        }
+        let lost = 1.0 - figures.values as f64 / figures.requests.max(1) as f64;
+        if let Some(most) = self.expect.lost.filter(|most| lost > *most) {
+            let what = format!("{:.4} of the requests have no value, {most} at most are expected", lost);
+            breaches.push(Breach { rule: Rule::Served, at_s: s(end), what });
+        }
+    }
+
+    /// What a forwarder says, in words that are the same for all: nodes that it avoids, planners that it lacks.
+    fn words(&self, now: &Now, planners: &BTreeSet<&str>) -> View {
+        let avoided = now.avoids.iter().map(|m| (m.clone(), "avoided".to_owned()));
+        let lacking = planners.iter().filter(|p| !now.hears.contains(**p));
+        avoided.chain(lacking.map(|p| ((*p).to_owned(), "not heard".to_owned()))).collect()
+    }
+
+    /// Whether all views are right now, as far as logs go.
+    pub fn is_settled(&self) -> bool {
+        let truth = Truth::of(self.plan);
+        let planners = self.last_planners(&truth);
+        self.forwarders().iter().filter_map(|f| self.track(*f)).map(Track::now).all(|now| {
+            !now.runs || (!now.stopped && self.words(&now, &planners).is_empty())
+        })
+    }
+
+    /// Planners that run in the end.
+    fn last_planners(&self, truth: &Truth) -> BTreeSet<&str> {
+        let there = |p: &usize| !truth.away(*p).hold(self.plan.over + 1, self.plan.over + 2);
+        self.plan.of(Role::Planner).filter(there).map(|p| self.plan.name(p)).collect()
+    }
+
+    fn converged(&self, truth: &Truth, figures: &mut Figures, breaches: &mut Vec<Breach>) {
+        let planners = self.last_planners(truth);
+        let mut samples = Vec::new();
+        let forwarders = self.forwarders();
+        for f in &forwarders {
+            let Some(track) = self.track(*f) else { continue };
+            for (at_us, now) in track.states() {
+                let view = now.runs.then(|| self.words(&now, &planners));
+                samples.push(Sample { at_us, observer: self.plan.name(*f).to_owned(), view });
+            }
+        }
+        let nobody = Sample { at_us: Micros::MIN, observer: "truth".into(), view: Some(View::new()) };
+        samples.push(nobody);
+        samples.sort_by_key(|s| s.at_us);
+        let names: Vec<&str> = forwarders.iter().map(|f| self.plan.name(*f)).collect();
+        let bound = converge::Bound {
+            whole_us: self.plan.over,
+            within_us: seconds(self.expect.converge_s),
+            until_us: self.until,
+        };
+        let at_s = s(self.plan.over + bound.within_us);
+        match converge::judge(&samples, &names, &bound) {
+            Verdict::Held(held) => {
+                // Views may be right and wrong again within the bound: for good is from the last change on.
+                let last = samples.iter().filter(|s| s.view.as_ref().is_some_and(|v| !v.is_empty()));
+                let last = last.map(|w| {
+                    let next = samples.iter().find(|n| n.observer == w.observer && n.at_us > w.at_us);
+                    next.map_or(self.until, |n| n.at_us)
+                });
+                let good = last.max().unwrap_or(Micros::MIN).max(self.plan.over + held.first_us);
+                figures.converged_s = Some(s(good - self.plan.over));
+            }
+            Verdict::Broken(apart) => {
+                let mut what = format!("views differ since {} s", s(apart.from_us));
+                for split in &apart.subjects.first {
+                    for (word, who) in split.says.iter().filter(|(w, _)| w.is_some()) {
+                        let word = word.as_deref().unwrap_or_default();
+                        what += &format!("; {} {word} by {}", split.subject, who.join(" "));
+                    }
+                }
+                if !apart.silent.is_empty() {
+                    what += &format!("; no word of {}", apart.silent.first.join(" "));
+                }
+                breaches.push(Breach { rule: Rule::Converged, at_s, what });
+            }
+            Verdict::NotDecided(why) => {
+                breaches.push(Breach { rule: Rule::Converged, at_s, what: format!("not decided: {why}") });
+            }
+        }
+    }
+
+    fn flapping(&self, figures: &mut Figures, breaches: &mut Vec<Breach>) {
+        let mut changes = Vec::new();
+        for f in self.forwarders() {
+            let Some(track) = self.track(f) else { continue };
+            for c in &track.changes {
+                let (matter, says) = match &c.what {
+                    What::Avoids(m) => (m, "avoided"),
+                    What::Returns(m) => (m, "taken back"),
+                    _ => continue,
+                };
+                changes.push(marks::Change {
+                    at_us: c.at,
+                    observer: format!("{}/{}", self.plan.name(f), c.life),
+                    subject: matter.clone(),
+                    says: says.into(),
+                });
+            }
+        }
+        changes.sort_by_key(|c| c.at_us);
+        figures.changes = changes.len() as u64;
+        for window in WINDOWS {
+            let most = self.rules.most_changes(window + READ);
+            match marks::flapping(&changes, window, most) {
+                Verdict::Held(busiest) if window == 10_000_000 => {
+                    figures.changes_in_10_s = busiest.changes as u64;
+                }
+                Verdict::Held(_) => {}
+                Verdict::Broken(found) => {
+                    if window == 10_000_000 {
+                        figures.changes_in_10_s = found.first.iter().map(|f| f.changes as u64).max().unwrap_or(0);
+                    }
+                    for f in &found.first {
+                        let what = format!(
+                            "{} changed its mind of {} {} times within {} s, {most} at most are allowed",
+                            f.observer,
+                            f.subject,
+                            f.changes,
+                            window / 1_000_000
+                        );
+                        breaches.push(Breach { rule: Rule::NoFlapping, at_s: s(f.from_us), what });
+                    }
+                }
+                Verdict::NotDecided(why) => {
+                    let what = format!("not decided: {why}");
+                    breaches.push(Breach { rule: Rule::NoFlapping, at_s: 0.0, what });
+                }
+            }
+        }
+    }
+
+    fn wrong(&self, truth: &Truth, figures: &mut Figures, breaches: &mut Vec<Breach>) {
+        let forwarders = self.forwarders();
+        for node in self.nodes() {
+            let name = self.plan.name(node);
+            let doubtful = truth.doubtful_to_any(node);
+            // How many avoid it, from each moment on.
+            let mut steps: Vec<(Micros, i64)> = Vec::new();
+            for f in &forwarders {
+                for (from, until, _) in self.track(*f).map(|t| t.avoided(name)).unwrap_or_default() {
+                    if !doubtful.touch(from - LATELY, from) {
+                        figures.wrong += 1;
+                    }
+                    steps.push((from, 1));
+                    steps.extend(until.map(|u| (u, -1)));
+                }
+            }
+            steps.sort_unstable();
+            let most = |n: i64| 2 * n > forwarders.len() as i64;
+            let (mut count, mut since) = (0, None);
+            let last = (self.until, -count);
+            for (at, more) in steps.into_iter().chain([last]) {
+                let before = most(count);
+                count += more;
+                if at == self.until || (before && !most(count)) {
+                    if let Some(from) = since.take() {
+                        self.wrong_for(name, &doubtful, from, at, figures, breaches);
+                    }
+                } else if !before && most(count) {
+                    since = Some(at);
+                }
+            }
+        }
+    }
+
+    /// Most avoided a node all this time: for how long of it nothing was wrong with it.
+    fn wrong_for(
+        &self,
+        name: &str,
+        doubtful: &world::fleet::truth::Spans,
+        from: Micros,
+        until: Micros,
+        figures: &mut Figures,
+        breaches: &mut Vec<Breach>,
+    ) {
+        let mut free = from;
+        let mut spans: Vec<(Micros, Micros)> = Vec::new();
+        for (a, b) in doubtful.iter().filter(|(a, b)| *b > from && *a < until) {
+            spans.push((free, a));
+            free = b;
+        }
+        spans.push((free, until));
+        for (a, b) in spans.into_iter().filter(|(a, b)| a < b) {
+            figures.wrong_most_s = figures.wrong_most_s.max(s(b - a));
+            if b - a > seconds(self.expect.wrong_s) {
+                let what = format!(
+                    "most forwarders avoid {name} from {} to {} s, though it answers all",
+                    s(a),
+                    s(b)
+                );
+                breaches.push(Breach { rule: Rule::NoWrongAvoidance, at_s: s(a), what });
+            }
+        }
+    }
+
+    fn kept(&self, truth: &Truth, breaches: &mut Vec<Breach>) {
+        for f in self.forwarders() {
+            let Some(track) = self.track(f) else { continue };
+            let unguided = truth.unguided(f);
+            for node in self.nodes() {
+                let silent = truth.silent(node, f);
+                for (_, until, _) in track.avoided(self.plan.name(node)) {
+                    let Some(at) = until else { continue };
+                    let returned = track.changes.iter().any(|c| c.at == at && matches!(&c.what, What::Returns(_)));
+                    let still = silent.hold(at - SILENT, at + READ);
+                    if returned && still && unguided.within(at - FADES, at) < UNGUIDED {
+                        let (who, name) = (self.plan.name(f), self.plan.name(node));
+                        let what = format!("{who} goes back to {name}, which is still silent to it");
+                        breaches.push(Breach { rule: Rule::Kept, at_s: s(at), what });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Nodes that fall silent to all at once, and when each forwarder avoids all of them.
+    fn avoided(&self, truth: &Truth, figures: &mut Figures, breaches: &mut Vec<Breach>) {
+        let mut groups = BTreeMap::<Micros, Vec<(usize, Micros)>>::new();
+        for node in self.nodes() {
+            for (from, until) in truth.silent_to_all(node).iter() {
+                groups.entry(from).or_default().push((node, until));
+            }
+        }
+        let few = self.rules.most_out(self.nodes().len());
+        for (from, group) in groups.iter().filter(|(_, group)| group.len() <= few) {
+            let until = group.iter().map(|(_, u)| *u).min().unwrap_or(*from).min(self.until);
+            let bound = self.expect.avoid_s.map(seconds);
+            for f in self.forwarders() {
+                let Some(track) = self.track(f) else { continue };
+                let first = |node: &usize| {
+                    let spans = track.avoided(self.plan.name(*node));
+                    let mut holding = spans.iter().filter(|(a, b, _)| b.is_none_or(|b| b > *from) && *a < until);
+                    holding.next().map(|(a, ..)| (*a - *from).max(0))
+                };
+                let all: Option<Vec<Micros>> = group.iter().map(|(node, _)| first(node)).collect();
+                let after = all.and_then(|times| times.into_iter().max());
+                match after {
+                    Some(after) => figures.avoided_s.push(s(after)),
+                    None => figures.never_avoided += 1,
+                }
+                let Some(bound) = bound.filter(|b| from + b <= until) else { continue };
+                let disturbed = self.disturbed(f, *from, from + bound) || truth.unguided(f).touch(*from, from + bound);
+                if !disturbed && after.is_none_or(|a| a > bound) {
+                    let names: Vec<&str> = group.iter().map(|(n, _)| self.plan.name(*n)).collect();
+                    let who = self.plan.name(f);
+                    let when = after.map_or("not at all".into(), |a| format!("after {} s", s(a)));
+                    let what = format!("{who} avoids {} {when}, {} s are expected", names.join(" "), s(bound));
+                    breaches.push(Breach { rule: Rule::Avoided, at_s: s(from + bound), what });
+                }
+            }
+        }
+        figures.avoided_s.sort_by(f64::total_cmp);
+    }
+}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -1,6 +1,10 @@
 //! A fleet of real processes on loopback, with faults between them. Each part says in its file what it owns.
 
+pub mod judge;
 pub mod links;
 pub mod log;
 pub mod machine;
+pub mod play;
 pub mod processes;
+pub mod stage;
+pub mod view;
--- /dev/null
+++ b/crates/lab/src/fleet/play.rs
@@ -0,0 +1,590 @@
+//! Plays a schedule: real planners and forwarders as child processes, every link between them and to the stand-in nodes
+//! through a relay, the plan's steps at their moments, and a judgement at the end.
+//!
+//! It owns the order of a run: what is started, in which configuration, and when it is over. What is done at which
+//! moment is the plan's ([`world::fleet::schedule::Plan`]); links, processes, log and clients have owners of their own.
+//! A run goes on after the last fault until all views are right, or should have been: so it is as long as it must be,
+//! and no verdict hangs on how long something took but where the schedule has a bound for it.
+
+use super::judge::{judge, Breach, Case, Figures};
+use super::links::{Lateness, Links};
+use super::log::{By, Line, Log, Mark, Wanted};
+use super::machine::{Bound, Machine, Seen};
+use super::processes::{told, Damage, Processes, Restart, Spec, State, Twin};
+use super::stage::{self, Met, Stage};
+use super::view::{self, Planners, Track};
+use crate::host::{HostError, Progress};
+use crate::loopback::children::Program;
+use crate::loopback::Clock;
+use martenweir::codec::discovery;
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use world::fleet::fault::Role;
+use world::fleet::schedule::{Act, Action, Folder, NodeAct, Plan, Schedule, Step};
+use world::random::{seconds, seed_of};
+use world::Micros;
+
+/// The clock before all is ready.
+const BEFORE: Micros = -3_600_000_000;
+/// No step of the start takes longer.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// Planners give opinions 3.5 s after their start; clients ask by then.
+const WARM: Duration = Duration::from_millis(4_000);
+/// How long all views must be right before a run is over, and how often that is looked at.
+const SETTLED: Micros = 1_500_000;
+const LOOK: Duration = Duration::from_millis(100);
+/// After the bound of convergence, so that what is late is seen to be.
+const BEYOND: Micros = 500_000;
+/// How long processes have to end when all is over.
+const ENDS: Duration = Duration::from_secs(5);
+/// How long one that was killed may take to be gone.
+const KILLED: Duration = Duration::from_secs(2);
+/// A step that was carried out later than this voids a run.
+const LATE: Micros = 250_000;
+/// The variable that plants a fault in a guarded proxy of a lab that was built to have some.
+pub const PLANT: &str = "LAB_PLANT";
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Setting<'a> {
+    pub schedule: &'a Schedule,
+    pub seed: u64,
+    pub program: Program,
+    /// The older program, where the schedule has some run it.
+    pub old: Option<Program>,
+    /// The name of a planted fault, for a lab that was built to have some.
+    pub plant: Option<String>,
+    /// Where the log and what clients met are written to, if anywhere.
+    pub out: Option<&'a Path>,
+}
+
+/// What came of it.
+#[derive(Debug)]
+pub struct Played {
+    pub plan: Plan,
+    pub tracks: BTreeMap<String, Track>,
+    pub figures: Figures,
+    pub breaches: Vec<Breach>,
+    /// Why what was seen says nothing of the program, if so.
+    pub void: Option<String>,
+    pub lateness: Lateness,
+    pub machine: Seen,
+    /// When watching ended.
+    pub until: Micros,
+    pub took: Duration,
+}
+
+impl Played {
+    /// Whether all held in a run that says something.
+    pub fn is_good(&self) -> bool {
+        self.void.is_none() && self.breaches.is_empty()
+    }
+}
+
+fn failed(what: &str) -> impl Fn(std::io::Error) -> HostError + '_ {
+    move |source| HostError::Io { what: what.to_owned(), source }
+}
+
+fn child(name: &str) -> impl Fn(super::processes::ProcessError) -> HostError + '_ {
+    move |error| HostError::Child { name: name.to_owned(), what: error.to_string() }
+}
+
+/// Plays a schedule from its beginning to its end.
+///
+/// # Errors
+///
+/// [`HostError`] where there is no run to speak of. A run in which something did not hold is none, nor is one that is
+/// void.
+pub fn play(setting: &Setting<'_>, progress: &dyn Progress) -> Result<Played, HostError> {
+    let started = Instant::now();
+    let plan = setting.schedule.plan(setting.seed);
+    progress.phase("starting");
+    let fleet = Fleet::start(setting, &plan)?;
+    let usher = Usher::start(&fleet)?;
+    fleet.wait_ready(&plan)?;
+    let machine = Machine::watch(Some(fleet.processes.roster())).map_err(failed("a thread"))?;
+    fleet.links.lateness();
+    fleet.clock.forward(0);
+    progress.phase(&setting.schedule.name);
+    let end = plan.over.max(seconds(setting.schedule.seconds));
+    let most = plan.over.max(0) + seconds(setting.schedule.expect.converge_s) + BEYOND;
+    let most = most.max(end);
+    let late = fleet.carry_out(&plan, end, most, progress);
+    let until = fleet.settle(setting, &plan, end, most, progress);
+    progress.phase("ending");
+    let met = fleet.stage.end();
+    let (lateness, seen) = (fleet.links.lateness(), machine.seen());
+    drop(machine);
+    let tracks = fleet.tracks();
+    if let Some(dir) = setting.out {
+        fleet.write(dir, &met)?;
+    }
+    fleet.all_started();
+    let killed = fleet.processes.end(ENDS).unwrap_or_default();
+    drop(usher);
+    let rules = fleet.rules(setting.schedule);
+    let case =
+        Case { plan: &plan, expect: &setting.schedule.expect, tracks: &tracks, met: &met, until, rules: &rules };
+    let (figures, breaches) = judge(&case);
+    let mut why = Vec::new();
+    why.extend(seen.void(&Bound::default()));
+    if lateness.void {
+        let ms = |us: u64| us as f64 / 1e3;
+        why.push(format!("links were late: {} ms at p99, {} ms once", ms(lateness.p99_us), ms(lateness.worst_us)));
+    }
+    if late > LATE {
+        why.push(format!("a step was carried out {} ms late", late / 1_000));
+    }
+    let broken = fleet.broken();
+    why.extend(broken);
+    if !killed.is_empty() && plan.steps.is_empty() {
+        why.push(format!("{} did not end when told to", killed.join(" ")));
+    }
+    let void = (!why.is_empty()).then(|| why.join("; "));
+    let took = started.elapsed();
+    Ok(Played { plan, tracks, figures, breaches, void, lateness, machine: seen, until, took })
+}
+
+/// All that runs.
+struct Fleet {
+    // Dropped in this order: processes end before what surrounds them.
+    processes: Arc<Processes>,
+    /// What waits for processes to end, to start them again.
+    starting: Mutex<Vec<JoinHandle<()>>>,
+    links: Arc<Links>,
+    stage: Arc<Stage>,
+    log: Log,
+    clock: Clock,
+    /// By name.
+    specs: BTreeMap<String, (Spec, Option<Program>)>,
+    planners: Planners,
+    nodes: BTreeMap<u64, String>,
+    names: Vec<String>,
+    forwarders: Vec<String>,
+}
+
+/// The port of a planner, as links name it, and of a node.
+const PLANS: &str = "plans";
+const CACHE: &str = "cache";
+
+impl Fleet {
+    fn start(setting: &Setting<'_>, plan: &Plan) -> Result<Fleet, HostError> {
+        let schedule = setting.schedule;
+        let clock = Clock::start(BEFORE);
+        let log = Log::new(clock.clone());
+        let processes = Processes::in_temporary(&log).map_err(failed("a folder"))?;
+        let links = Arc::new(Links::start(setting.seed).map_err(failed("links"))?);
+        let names = |role: Role| -> Vec<String> { plan.of(role).map(|m| plan.name(m).to_owned()).collect() };
+        let (planners, forwarders, nodes) = (names(Role::Planner), names(Role::Forwarder), names(Role::Node));
+        let stage = Stage::start(
+            clock.clone(),
+            stage::Setting {
+                nodes: nodes.len(),
+                forwarders: forwarders.len(),
+                service: Duration::from_secs_f64(schedule.fleet.service_ms / 1e3),
+                rate: schedule.fleet.rate_per_s,
+                seed: setting.seed,
+            },
+        );
+        let mut fleet = Fleet {
+            processes: Arc::new(processes),
+            starting: Mutex::default(),
+            links,
+            stage: Arc::new(stage.map_err(failed("the stage"))?),
+            log,
+            clock,
+            specs: BTreeMap::new(),
+            planners: Planners::new(),
+            nodes: nodes.iter().map(|n| (discovery::number(n.as_bytes()), n.clone())).collect(),
+            names: planners.iter().chain(&forwarders).cloned().collect(),
+            forwarders,
+        };
+        let older = schedule.older();
+        let program = |name: &str| -> (Program, Option<Program>) {
+            let is_old = older.iter().any(|m| plan.name(*m) == name);
+            match setting.old.as_ref().filter(|_| is_old) {
+                Some(old) => (old.clone(), Some(setting.program.clone())),
+                None => (setting.program.clone(), None),
+            }
+        };
+        let count = fleet.forwarders.len();
+        for name in &planners {
+            let text = format!("plannerport 0\nplanforwarders {count}\n");
+            let conf = fleet.setting(name, "planner.conf", &text)?;
+            let (program, newer) = program(name);
+            let spec = Spec::new(name, &program).arg("planner").arg("--conf").arg(conf);
+            fleet.begin(setting, name, spec, newer)?;
+        }
+        let mut at = BTreeMap::new();
+        for name in &planners {
+            at.insert(name.clone(), fleet.address(name, "planning")?);
+        }
+        for (me, name) in fleet.forwarders.clone().iter().enumerate() {
+            let mut lines = format!("planforwarders {count}\n");
+            for planner in &planners {
+                let Some(target) = at.get(planner) else { continue };
+                let relay = fleet.links.tcp(name, planner, PLANS, *target).map_err(failed("a link"))?;
+                let _ = writeln!(lines, "planner {relay}");
+                fleet.planners.insert((name.clone(), relay.to_string()), planner.clone());
+            }
+            let mut reached = Vec::new();
+            for (node, target) in nodes.iter().zip(fleet.stage.nodes()) {
+                reached.push(fleet.links.tcp(name, node, CACHE, *target).map_err(failed("a link"))?);
+            }
+            let conf = fleet.setting(name, "forwarder.conf", &lines)?;
+            let config = configuration(setting, plan, me, fleet.stage.discovery(), &reached);
+            let config = fleet.setting(name, "config.json", &config.to_string())?;
+            let (program, newer) = program(name);
+            let spec = Spec::new(name, &program).arg("--conf").arg(conf).arg(config);
+            fleet.begin(setting, name, spec, newer)?;
+        }
+        Ok(fleet)
+    }
+
+    /// A file that a process is configured with; its name in full.
+    fn setting(&self, name: &str, file: &str, text: &str) -> Result<std::ffi::OsString, HostError> {
+        let path = self.processes.settings(name).map_err(child(name))?.join(file);
+        std::fs::write(&path, text).map_err(failed("a configuration"))?;
+        Ok(path.into_os_string())
+    }
+
+    fn begin(
+        &mut self,
+        setting: &Setting<'_>,
+        name: &str,
+        spec: Spec,
+        newer: Option<Program>,
+    ) -> Result<(), HostError> {
+        let mut spec = spec.arg("--log-format").arg("json").variable("RUST_LOG", "info");
+        if let Some(plant) = &setting.plant {
+            spec = spec.variable(PLANT, plant.clone());
+        }
+        self.specs.insert(name.to_owned(), (spec.clone(), newer));
+        self.processes.start(spec).map(drop).map_err(child(name))
+    }
+
+    /// Where a process says that it listens.
+    fn address(&self, name: &str, event: &str) -> Result<SocketAddr, HostError> {
+        let error = |what: String| HostError::Child { name: name.to_owned(), what };
+        let line = self.log.event(name, event, PATIENCE).map_err(|e| error(e.to_string()))?;
+        line.address().ok_or_else(|| error(format!("no address in: {line}")))
+    }
+
+    /// Until all forwarders listen and hear all planners, and these may have opinions.
+    fn wait_ready(&self, plan: &Plan) -> Result<(), HostError> {
+        let begun = Instant::now();
+        let planners = plan.of(Role::Planner).count();
+        let (mark, until) = (Mark::default(), Instant::now() + PATIENCE);
+        let mut left: BTreeSet<&String> = self.forwarders.iter().collect();
+        for (i, name) in self.forwarders.iter().enumerate() {
+            self.stage.at(i, Some(self.address(name, "listening")?));
+        }
+        self.stage.begin();
+        while !left.is_empty() {
+            left.retain(|name| {
+                let up = self.log.lines(mark, &Wanted::event("planner_up").of(name));
+                let to: BTreeSet<_> = up.iter().filter_map(|l| l.text("planner").map(str::to_owned)).collect();
+                to.len() < planners
+            });
+            if let Some(name) = left.first().filter(|_| Instant::now() > until) {
+                let what = "does not hear all planners".to_owned();
+                return Err(HostError::Child { name: (*name).clone(), what });
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        if planners > 0 {
+            std::thread::sleep(WARM.saturating_sub(begun.elapsed()));
+        }
+        Ok(())
+    }
+
+    /// Does what the plan has; by how much a step was late at most.
+    fn carry_out(&self, plan: &Plan, end: Micros, most: Micros, progress: &dyn Progress) -> Micros {
+        let mut late = 0;
+        for step in &plan.steps {
+            self.wait_until(step.at, end.max(most), progress);
+            self.step(plan, step);
+            late = late.max(self.clock.now() - step.at);
+        }
+        late
+    }
+
+    fn wait_until(&self, at: Micros, whole: Micros, progress: &dyn Progress) {
+        loop {
+            let now = self.clock.now();
+            progress.part(now as f64 / whole.max(1) as f64);
+            if now >= at {
+                return;
+            }
+            std::thread::sleep(Duration::from_micros((at - now) as u64).min(LOOK));
+        }
+    }
+
+    fn step(&self, plan: &Plan, step: &Step) {
+        let tell = |name: &str, what: String| {
+            let life = self.processes.life(name).unwrap_or(0);
+            self.log.tell(&Arc::from(name), life, "lab_step", what);
+        };
+        match &step.action {
+            Action::Link { from, to, condition } => {
+                let (from, to) = (plan.name(*from), plan.name(*to));
+                if let Err(why) = self.links.set(from, to, condition.clone()) {
+                    tell(from, format!("the link to {to} is not set: {why}"));
+                }
+            }
+            Action::Reset { from, to } => {
+                let _ = self.links.reset(plan.name(*from), plan.name(*to));
+            }
+            Action::Node { who, what } => {
+                let first = plan.of(Role::Node).next().unwrap_or(0);
+                self.stage.node(who - first, *what);
+                let word = match what {
+                    NodeAct::Hang => "hangs",
+                    NodeAct::Crash => "crashes",
+                    NodeAct::Serve => "serves",
+                };
+                self.log.tell(&Arc::from(plan.name(*who)), 1, "lab_node", word.to_owned());
+            }
+            Action::Process { who, what } => {
+                let name = plan.name(*who);
+                if let Err(why) = self.act(name, *what) {
+                    tell(name, format!("{what}: {why}"));
+                }
+            }
+        }
+    }
+
+    /// What another fault has undone already, or a process that is gone, is no error of the run: it is in the log.
+    fn act(&self, name: &str, what: Act) -> Result<(), super::processes::ProcessError> {
+        let p = &self.processes;
+        let spec = |limit: bool| {
+            let (mut spec, newer) = self.specs.get(name).cloned()?;
+            if let Some(newer) = newer {
+                spec.program = newer;
+            }
+            if limit {
+                spec.limits.file_bytes = Some(0);
+            }
+            Some(spec)
+        };
+        match what {
+            Act::Terminate => p.terminate(name),
+            Act::Kill => p.kill(name),
+            Act::Stop => p.stop(name),
+            Act::Resume => p.resume(name),
+            Act::Start { folder: Folder::Empty } => {
+                let how = Restart { folder: super::processes::Folder::Empty, ..Restart::default() };
+                p.restart(name, how)
+            }
+            Act::Start { folder: Folder::Kept } => {
+                let Some(spec) = spec(false) else { return Ok(()) };
+                if matches!(p.state(name)?, State::Ended(_)) {
+                    return p.start(spec).map(drop);
+                }
+                self.start_once_ended(spec);
+                Ok(())
+            }
+            Act::StartLimited => {
+                let _ = p.wait(name, KILLED);
+                spec(true).map_or(Ok(()), |spec| p.start(spec).map(drop))
+            }
+            Act::Twin => p.twin(name, None, Twin::SameFolder).map(drop),
+            Act::EndTwin => p.kill(&format!("{name}~2")),
+            Act::Damage { rot, seed } => {
+                let _ = p.wait(name, KILLED);
+                let seed = seed.into();
+                p.damage(name, if rot { Damage::AnyByteChanged { seed } } else { Damage::AnyCutShort { seed } })
+            }
+        }
+    }
+
+    /// One that was told to end may take its time, which must not hold up other steps. Nothing is done where it was told
+    /// nothing and runs on.
+    fn start_once_ended(&self, spec: Spec) {
+        let (processes, name) = (self.processes.clone(), spec.name.clone());
+        let told = self.log.lines(Mark::default(), &Wanted::event(told::TOLD_TO_END).of(&name));
+        let life = processes.life(&name).unwrap_or(0);
+        if !told.iter().any(|l| l.life == life) {
+            return;
+        }
+        let work = move || {
+            if processes.wait(&name, ENDS).is_err() {
+                let _ = processes.kill(&name);
+                let _ = processes.wait(&name, KILLED);
+            }
+            let _ = processes.start(spec);
+        };
+        self.starting.lock().unwrap_or_else(PoisonError::into_inner).push(std::thread::spawn(work));
+    }
+
+    fn all_started(&self) {
+        let mut starting = self.starting.lock().unwrap_or_else(PoisonError::into_inner);
+        starting.drain(..).for_each(|thread| drop(thread.join()));
+    }
+
+    /// Until all views are right and stay so, or should have been; when that was.
+    fn settle(
+        &self,
+        setting: &Setting<'_>,
+        plan: &Plan,
+        end: Micros,
+        most: Micros,
+        progress: &dyn Progress,
+    ) -> Micros {
+        self.wait_until(end, most, progress);
+        let rules = self.rules(setting.schedule);
+        let mut right = None;
+        loop {
+            let now = self.clock.now();
+            let tracks = self.tracks();
+            let expect = &setting.schedule.expect;
+            let case = Case { plan, expect, tracks: &tracks, met: &[], until: now, rules: &rules };
+            right = case.is_settled().then(|| right.unwrap_or(now));
+            if now >= most || right.is_some_and(|since| now - since >= SETTLED) {
+                return now;
+            }
+            self.wait_until(now + LOOK.as_micros() as Micros, most, progress);
+        }
+    }
+
+    fn rules(&self, schedule: &Schedule) -> plan::Rules {
+        plan::Rules { forwarders: schedule.fleet.forwarders.max(1), ..plan::Rules::default() }
+    }
+
+    fn tracks(&self) -> BTreeMap<String, Track> {
+        let lines = self.log.lines(Mark::default(), &Wanted::any().when(view::wanted));
+        let names: Vec<&str> = self.names.iter().map(String::as_str).collect();
+        view::tracks(&lines, &names, &self.planners, &self.nodes)
+    }
+
+    /// What makes a run worthless that no rule would tell.
+    fn broken(&self) -> Option<String> {
+        let lost: u64 = self.log.lost().values().sum();
+        let failed = self.log.lines(Mark::default(), &Wanted::event(told::FAILED));
+        let mut why = Vec::new();
+        if lost > 0 {
+            why.push(format!("{lost} lines of the log had to go"));
+        }
+        why.extend(failed.first().map(|l| format!("{}: {}", l.process, l.message)));
+        (!why.is_empty()).then(|| why.join("; "))
+    }
+
+    fn write(&self, dir: &Path, met: &[Met]) -> Result<(), HostError> {
+        std::fs::create_dir_all(dir).map_err(failed("the folder of --out"))?;
+        self.log.write(&dir.join("log.jsonl")).map_err(failed("log.jsonl"))?;
+        let records = super::log::Written::create(&dir.join("requests.jsonl")).map_err(failed("requests.jsonl"))?;
+        for met in met {
+            records.push(&Record::of(met)).map_err(failed("requests.jsonl"))?;
+        }
+        records.finish().map(drop).map_err(failed("requests.jsonl"))
+    }
+}
+
+/// A line of the history of client operations.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case", tag = "met")]
+enum Record {
+    Asked { id: u64, at_us: Micros, forwarder: usize },
+    Ended { id: u64, at_us: Micros, end: String },
+    Stray { id: u64, at_us: Micros },
+}
+
+impl Record {
+    fn of(met: &Met) -> Record {
+        match *met {
+            Met::Asked { id, at, forwarder } => Record::Asked { id, at_us: at, forwarder },
+            Met::Ended { id, at, end } => {
+                Record::Ended { id, at_us: at, end: format!("{end:?}").to_lowercase() }
+            }
+            Met::Stray { id, at } => Record::Stray { id, at_us: at },
+        }
+    }
+}
+
+/// What a forwarder is told at its start, in the platform's words.
+fn configuration(
+    setting: &Setting<'_>,
+    plan: &Plan,
+    me: usize,
+    discovery: SocketAddr,
+    reached: &[SocketAddr],
+) -> Value {
+    let fleet = &setting.schedule.fleet;
+    let hall = |m: usize| plan.members.get(m).map_or(0, |m| usize::from(m.hall));
+    let member = |(m, address): (usize, &SocketAddr)| {
+        json!({ "id": plan.name(m), "host_port": address.to_string(), "locality": fleet.halls.get(hall(m)),
+            "flavor": "node", "cell": 0, "phase": "SERVING", "size": 1.0, "up_since_ms": 0 })
+    };
+    let members: Vec<Value> = plan.of(Role::Node).zip(reached).map(member).collect();
+    let zone = plan.of(Role::Forwarder).nth(me).map_or(0, hall);
+    let limit = stage::PATIENCE.as_millis() as f64;
+    let class = json!({ "name": "lookup", "onTimeMs": limit / 2.0, "hardLimitMs": limit, "repeat": "retryable" });
+    json!({
+        "name": format!("f{me}"),
+        "listen": "127.0.0.1:0",
+        "discovery": discovery.to_string(),
+        "seed": format!("{:x}", seed_of(setting.seed, "forwarder", me as u64)),
+        "known": { "revision": 1, "complete": true, "members": members },
+        "settings": {
+            "balancers": fleet.forwarders, "me": me, "zone": zone, "periodMs": 5.0, "discovery": "automatic",
+            "classes": [class], "tenants": [], "zones": fleet.halls, "flavors": ["node"],
+            "limits": { "dialTimeoutMs": 500.0, "keepaliveMs": 60_000.0, "maxAttempts": 3, "maxOpen": 1000,
+                "probes": false, "secondCopies": true },
+            "rules": { "coldFrom": 0.2, "coldMs": 20_000.0, "fallMultiple": 3.0, "graceToAnswerMs": 20.0,
+                "overloadForMs": 1000.0 },
+            "stats": { "columns": ["err_rps", "cpu"], "source": "on_probe" }
+        }
+    })
+}
+
+/// Shows the way to processes that were started anew: they listen elsewhere. A thread of its own, so that nobody waits.
+struct Usher {
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Usher {
+    fn start(fleet: &Fleet) -> Result<Usher, HostError> {
+        let over = Arc::new(AtomicBool::new(false));
+        let (ends, log) = (over.clone(), fleet.log.clone());
+        let (links, stage) = (fleet.links.clone(), fleet.stage.clone());
+        let forwarders = fleet.forwarders.clone();
+        let thread = std::thread::Builder::new().name("fleet-usher".into());
+        let thread = thread.spawn(move || {
+            let mut next = 0;
+            while !ends.load(Ordering::Acquire) {
+                let events = ["planning", "listening", told::ENDED];
+                let news = move |l: &Line| l.number >= next && events.contains(&l.event.as_str());
+                let since = Mark::default();
+                let Ok(line) = log.wait_for(since, &Wanted::any().when(news), LOOK) else { continue };
+                next = line.number + 1;
+                let forwarder = forwarders.iter().position(|f| **f == *line.process);
+                match (line.by, line.event.as_str(), line.address(), forwarder) {
+                    (By::Process, "planning", Some(at), _) => drop(links.aim(&line.process, PLANS, at)),
+                    (By::Process, "listening", Some(at), Some(f)) => stage.at(f, Some(at)),
+                    (By::Lab, told::ENDED, _, Some(f)) => stage.at(f, None),
+                    (By::Lab, told::ENDED, _, None) => drop(links.shut(&line.process, PLANS)),
+                    _ => {}
+                }
+            }
+        });
+        Ok(Usher { over, thread: Some(thread.map_err(failed("a thread"))?) })
+    }
+}
+
+impl Drop for Usher {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/stage.rs
@@ -0,0 +1,466 @@
+//! What surrounds a fleet: stand-in cache nodes, discovery, and clients with a small steady load.
+//!
+//! It owns one thread with all their sockets, and what was seen on them. Nodes answer everything after a fixed time with
+//! a value that names its key and request; they hang or are away when they are told to. Clients have one request at a
+//! time on a connection, so that each answer is of a known one. No models of machines in here: where service,
+//! stores and queues matter, play a scenario ([`crate::loopback`]).
+
+use crate::loopback::socket::speech::{self, Command, Dialect, TryId};
+use crate::loopback::Clock;
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use martenweir::codec::resp::{self, Reply};
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use world::facts::TryNo;
+use world::fleet::schedule::NodeAct;
+use world::random::{exponential, stream};
+use world::Micros;
+
+/// What clients say that they wait, and for how long after that an answer still counts.
+pub const PATIENCE: Duration = Duration::from_millis(1_000);
+const GRACE: Duration = Duration::from_millis(1_000);
+/// Requests of one forwarder's clients that are out at a time; more are not sent.
+const MOST_OUT: usize = 64;
+/// Events that are kept.
+const MOST_MET: usize = history::MOST;
+/// Bytes of a value.
+const VALUE: u32 = 64;
+const KEYS: u32 = 100_000;
+/// A sign of life of discovery comes this often.
+const LIFE: Duration = Duration::from_secs(2);
+/// Tries to listen at an address again.
+const TRIES: usize = 100;
+
+/// What is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    pub nodes: usize,
+    pub forwarders: usize,
+    pub service: Duration,
+    /// Requests a second to each forwarder.
+    pub rate: f64,
+    pub seed: u64,
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Value,
+    /// Refused, or failed, with an answer that says so.
+    Refused,
+    Failed,
+    /// The connection broke before an answer came.
+    Broken,
+    /// No answer came in time.
+    Late,
+}
+
+/// What clients met, in the order of time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Met {
+    Asked { id: u64, at: Micros, forwarder: usize },
+    Ended { id: u64, at: Micros, end: End },
+    /// Something came after the answer, or an answer to another request.
+    Stray { id: u64, at: Micros },
+}
+
+enum Order {
+    Node(usize, NodeAct),
+    /// Where a forwarder listens now.
+    At(usize, Option<SocketAddr>),
+    Begin,
+    /// No more requests; what was met so far is handed out once all that are out have ended.
+    End(Sender<Vec<Met>>),
+}
+
+/// See the file's comment. Dropped, it ends.
+#[derive(Debug)]
+pub struct Stage {
+    orders: Sender<(Order, Sender<()>)>,
+    nodes: Vec<SocketAddr>,
+    discovery: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn listen(at: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(at)
+}
+
+impl Stage {
+    /// Opens all ports.
+    ///
+    /// # Errors
+    ///
+    /// No socket or no thread to be had.
+    pub fn start(clock: Clock, setting: Setting) -> io::Result<Stage> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listeners: Vec<Async<TcpListener>> = (0..=setting.nodes).map(|_| listen(any)).collect::<Result<_, _>>()?;
+        let mut addresses: Vec<SocketAddr> =
+            listeners.iter().map(|l| l.get_ref().local_addr()).collect::<Result<_, _>>()?;
+        let discovery = addresses.pop().unwrap_or(any);
+        let (orders, taken) = async_channel::bounded(64);
+        let nodes = addresses.clone();
+        let thread = std::thread::Builder::new().name("fleet-stage".into()).spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let scene = Scene::new(clock, setting, addresses, executor.clone());
+            async_io::block_on(executor.run(scene.work(listeners, taken)));
+        })?;
+        Ok(Stage { orders, nodes, discovery, thread: Some(thread) })
+    }
+
+    pub fn nodes(&self) -> &[SocketAddr] {
+        &self.nodes
+    }
+
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+
+    fn order(&self, order: Order) {
+        let (done, wait) = async_channel::bounded(1);
+        if self.orders.send_blocking((order, done)).is_ok() {
+            let _ = wait.recv_blocking();
+        }
+    }
+
+    /// What a node does from now on.
+    pub fn node(&self, node: usize, act: NodeAct) {
+        self.order(Order::Node(node, act));
+    }
+
+    /// Where a forwarder listens now, if it does.
+    pub fn at(&self, forwarder: usize, address: Option<SocketAddr>) {
+        self.order(Order::At(forwarder, address));
+    }
+
+    /// Clients begin to ask.
+    pub fn begin(&self) {
+        self.order(Order::Begin);
+    }
+
+    /// Clients ask no more. What they met, once nothing is out.
+    pub fn end(&self) -> Vec<Met> {
+        let (met, told) = async_channel::bounded(1);
+        self.order(Order::End(met));
+        told.recv_blocking().unwrap_or_default()
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.orders.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A connection of a client that waits for its next request, with the last one that went over it.
+type Idle = (Async<TcpStream>, u64);
+
+struct Scene {
+    clock: Clock,
+    setting: Setting,
+    addresses: Vec<SocketAddr>,
+    executor: Rc<LocalExecutor<'static>>,
+    acts: Vec<Cell<NodeAct>>,
+    /// Of each node: who listens, and its connections.
+    doors: RefCell<Vec<Option<Task<()>>>>,
+    visitors: RefCell<Vec<Vec<Task<()>>>>,
+    forwarders: RefCell<Vec<Option<SocketAddr>>>,
+    idle: RefCell<Vec<Vec<Idle>>>,
+    out: Cell<usize>,
+    asked: Cell<u64>,
+    asks: Cell<bool>,
+    met: RefCell<Vec<Met>>,
+}
+
+impl Scene {
+    fn new(
+        clock: Clock,
+        setting: Setting,
+        addresses: Vec<SocketAddr>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Scene> {
+        Rc::new(Scene {
+            clock,
+            setting,
+            addresses,
+            executor,
+            acts: (0..setting.nodes).map(|_| Cell::new(NodeAct::Serve)).collect(),
+            doors: RefCell::new((0..setting.nodes).map(|_| None).collect()),
+            visitors: RefCell::new((0..setting.nodes).map(|_| Vec::new()).collect()),
+            forwarders: RefCell::new(vec![None; setting.forwarders]),
+            idle: RefCell::new((0..setting.forwarders).map(|_| Vec::new()).collect()),
+            out: Cell::new(0),
+            asked: Cell::new(0),
+            asks: Cell::new(false),
+            met: RefCell::default(),
+        })
+    }
+
+    /// Until nobody gives orders any more.
+    async fn work(self: Rc<Self>, mut listeners: Vec<Async<TcpListener>>, orders: Receiver<(Order, Sender<()>)>) {
+        let discovery = listeners.pop().map(|l| self.executor.spawn(self.clone().discover(l)));
+        for (node, listener) in listeners.into_iter().enumerate() {
+            self.open(node, listener);
+        }
+        let mut clients = Vec::new();
+        while let Ok((order, done)) = orders.recv().await {
+            match order {
+                Order::Node(node, act) => self.act(node, act).await,
+                Order::At(forwarder, address) => {
+                    if let Some(at) = self.forwarders.borrow_mut().get_mut(forwarder) {
+                        *at = address;
+                    }
+                    if let Some(idle) = self.idle.borrow_mut().get_mut(forwarder) {
+                        idle.clear();
+                    }
+                }
+                Order::Begin => {
+                    self.asks.set(true);
+                    let one = |f| self.executor.spawn(self.clone().clients(f));
+                    clients = (0..self.setting.forwarders).map(one).collect();
+                }
+                Order::End(met) => {
+                    self.asks.set(false);
+                    let scene = self.clone();
+                    let end = async move {
+                        while scene.out.get() > 0 {
+                            Timer::after(Duration::from_millis(20)).await;
+                        }
+                        let _ = met.send(scene.met.take()).await;
+                    };
+                    self.executor.spawn(end).detach();
+                }
+            }
+            let _ = done.send(()).await;
+        }
+        drop((clients, discovery));
+        self.doors.borrow_mut().clear();
+        self.visitors.borrow_mut().clear();
+    }
+
+    fn open(self: &Rc<Self>, node: usize, listener: Async<TcpListener>) {
+        let task = self.executor.spawn(self.clone().door(node, listener));
+        if let Some(door) = self.doors.borrow_mut().get_mut(node) {
+            *door = Some(task);
+        }
+    }
+
+    async fn act(self: &Rc<Self>, node: usize, act: NodeAct) {
+        let (Some(now), Some(address)) = (self.acts.get(node), self.addresses.get(node)) else { return };
+        let before = now.replace(act);
+        if act == NodeAct::Crash {
+            let door = self.doors.borrow_mut().get_mut(node).and_then(Option::take);
+            let visitors = self.visitors.borrow_mut().get_mut(node).map(std::mem::take);
+            drop((door, visitors));
+        } else if before == NodeAct::Crash {
+            for _ in 0..TRIES {
+                if let Ok(listener) = listen(*address) {
+                    return self.open(node, listener);
+                }
+                Timer::after(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    async fn door(self: Rc<Self>, node: usize, listener: Async<TcpListener>) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(50)).await;
+                continue;
+            };
+            let _ = socket.get_ref().set_nodelay(true);
+            let task = self.executor.spawn(self.clone().visit(node, socket));
+            if let Some(visitors) = self.visitors.borrow_mut().get_mut(node) {
+                visitors.retain(|t| !t.is_finished());
+                visitors.push(task);
+            }
+        }
+    }
+
+    /// Serves a connection to a node until it ends.
+    async fn visit(self: Rc<Self>, node: usize, socket: Async<TcpStream>) {
+        let (mut socket, mut input, mut bytes) = (socket, Vec::new(), [0; 4096]);
+        let hangs = || self.acts.get(node).is_some_and(|a| a.get() == NodeAct::Hang);
+        loop {
+            while let Some((command, taken)) = Dialect::Cache.command(&input) {
+                input.drain(..taken);
+                if hangs() {
+                    continue;
+                }
+                let mut out = Vec::new();
+                match command {
+                    Command::Keyed { key, id, .. } => {
+                        Timer::after(self.setting.service).await;
+                        let value = speech::value(&key, &id, VALUE as usize);
+                        speech::put_array(&mut out, [Some(&value), Some(b"hit"), None]);
+                    }
+                    Command::Load => resp::put_bulk(&mut out, b"util=0.1,eps=0"),
+                    Command::Ping => out.extend_from_slice(b"+PONG\r\n"),
+                    Command::Courtesy => out.extend_from_slice(b"+OK\r\n"),
+                    _ => return,
+                }
+                if !hangs() && socket.write_all(&out).await.is_err() {
+                    return;
+                }
+            }
+            match socket.read(&mut bytes).await {
+                Ok(n) if n > 0 => input.extend_from_slice(&bytes[..n]),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// The list is in the configurations already, and nothing about it changes.
+    async fn discover(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            let Ok((mut socket, _)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(50)).await;
+                continue;
+            };
+            let told = async move {
+                let mut out = Vec::new();
+                speech::put_stream(&mut out);
+                loop {
+                    speech::put_chunk(&mut out, b"\n");
+                    if socket.write_all(&out).await.is_err() {
+                        return;
+                    }
+                    out.clear();
+                    Timer::after(LIFE).await;
+                }
+            };
+            self.executor.spawn(told).detach();
+        }
+    }
+
+    fn meet(&self, met: Met) {
+        let mut all = self.met.borrow_mut();
+        if all.len() < MOST_MET {
+            all.push(met);
+        }
+    }
+
+    /// The clients of a forwarder: requests at a steady rate with drawn gaps.
+    async fn clients(self: Rc<Self>, forwarder: usize) {
+        let mut random = stream(self.setting.seed, "clients", forwarder as u64);
+        let mut due = self.clock.now();
+        let out = Rc::new(Cell::new(0_usize));
+        while self.asks.get() {
+            due += (exponential(&mut random) * 1e6 / self.setting.rate) as Micros;
+            Timer::at(self.clock.instant(due)).await;
+            let address = self.forwarders.borrow().get(forwarder).copied().flatten();
+            let (Some(address), true) = (address, out.get() < MOST_OUT) else { continue };
+            if !self.asks.get() {
+                break;
+            }
+            let id = self.asked.get();
+            self.asked.set(id + 1);
+            let key = format!("{:x}", random.random_range(1..KEYS));
+            let (scene, out) = (self.clone(), out.clone());
+            out.set(out.get() + 1);
+            self.out.set(self.out.get() + 1);
+            let request = async move {
+                scene.request(forwarder, address, id, &key).await;
+                out.set(out.get() - 1);
+                scene.out.set(scene.out.get() - 1);
+            };
+            self.executor.spawn(request).detach();
+        }
+    }
+
+    /// A connection that waits and has nothing to say.
+    fn idle(&self, forwarder: usize) -> Option<Async<TcpStream>> {
+        loop {
+            let (socket, last) = self.idle.borrow_mut().get_mut(forwarder)?.pop()?;
+            match socket.get_ref().peek(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(socket),
+                Ok(n) if n > 0 => self.meet(Met::Stray { id: last, at: self.clock.now() }),
+                _ => {}
+            }
+        }
+    }
+
+    async fn request(&self, forwarder: usize, address: SocketAddr, id: u64, key: &str) {
+        let socket = match self.idle(forwarder) {
+            Some(socket) => socket,
+            None => match Async::<TcpStream>::connect(address).await {
+                Ok(socket) => socket,
+                // Nobody has taken it.
+                Err(_) => return,
+            },
+        };
+        let _ = socket.get_ref().set_nodelay(true);
+        let word = TryId { of: TryNo(id), work: 0, bytes: VALUE }.write();
+        let properties = format!("c=lookup,d={}", PATIENCE.as_millis());
+        let mut command = Vec::new();
+        let words = [&b"CACHE.GET"[..], key.as_bytes(), word.as_bytes(), properties.as_bytes()];
+        resp::put_command(&mut command, &words);
+        self.meet(Met::Asked { id, at: self.clock.now(), forwarder });
+        let late = async {
+            Timer::after(PATIENCE + GRACE).await;
+            End::Late
+        };
+        let mut idle = None;
+        let end = future::or(self.exchange(socket, id, key, &command, &mut idle), late).await;
+        self.meet(Met::Ended { id, at: self.clock.now(), end });
+        let same = self.forwarders.borrow().get(forwarder).copied().flatten() == Some(address);
+        if let (Some(socket), true) = (idle, same) {
+            if let Some(all) = self.idle.borrow_mut().get_mut(forwarder) {
+                all.push((socket, id));
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        mut socket: Async<TcpStream>,
+        id: u64,
+        key: &str,
+        command: &[u8],
+        idle: &mut Option<Async<TcpStream>>,
+    ) -> End {
+        if socket.write_all(command).await.is_err() {
+            return End::Broken;
+        }
+        let (mut input, mut bytes) = (Vec::new(), [0; 4096]);
+        loop {
+            match socket.read(&mut bytes).await {
+                Ok(n) if n > 0 => input.extend_from_slice(&bytes[..n]),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                _ => return End::Broken,
+            }
+            let Ok(parsed) = resp::reply(&input) else { return End::Failed };
+            let Some((reply, taken)) = parsed else { continue };
+            if taken < input.len() {
+                self.meet(Met::Stray { id, at: self.clock.now() });
+            }
+            let value = match reply {
+                Reply::Bulk(value) => value,
+                Reply::Array(items) => items.into_iter().next().flatten(),
+                Reply::Error(text) => {
+                    *idle = Some(socket);
+                    return if text.starts_with(b"BUSY") { End::Refused } else { End::Failed };
+                }
+                _ => None,
+            };
+            let Some(value) = value else { return End::Failed };
+            if speech::made_for(&value) != Some((key.as_bytes(), TryNo(id))) {
+                self.meet(Met::Stray { id, at: self.clock.now() });
+            }
+            *idle = Some(socket);
+            return End::Value;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/view.rs
@@ -0,0 +1,181 @@
+//! What each process of a fleet says that it sees, over time, from its log: which nodes are avoided and which
+//! planners are heard, and whether the process itself runs.
+//!
+//! Pure: lines in, changes out. What is true, and whether a view is right, is for [`super::judge`].
+
+use super::log::{By, Line};
+use super::processes::told;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use world::Micros;
+
+/// One thing that changed for a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// Another life of it begins.
+    Started,
+    Ended,
+    Stopped,
+    Resumed,
+    /// It sends nothing to a node, or to a hall, at planners' word.
+    Avoids(String),
+    Returns(String),
+    /// A planner is connected to it, or no longer.
+    Hears(String),
+    Misses(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    pub at: Micros,
+    pub life: u32,
+    pub what: What,
+}
+
+/// How a process is and what it sees at a moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    pub runs: bool,
+    pub stopped: bool,
+    pub avoids: BTreeSet<String>,
+    pub hears: BTreeSet<String>,
+}
+
+impl Now {
+    fn take(&mut self, what: &What) {
+        match what {
+            What::Started => *self = Now { runs: true, ..Now::default() },
+            What::Ended => *self = Now::default(),
+            What::Stopped => self.stopped = true,
+            What::Resumed => self.stopped = false,
+            What::Avoids(matter) => drop(self.avoids.insert(matter.clone())),
+            What::Returns(matter) => drop(self.avoids.remove(matter)),
+            What::Hears(planner) => drop(self.hears.insert(planner.clone())),
+            What::Misses(planner) => drop(self.hears.remove(planner)),
+        }
+    }
+}
+
+/// The changes of one process, in the order of time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Track {
+    pub changes: Vec<Change>,
+}
+
+impl Track {
+    /// Each state and from when on it holds.
+    pub fn states(&self) -> impl Iterator<Item = (Micros, Now)> + '_ {
+        let mut now = Now::default();
+        self.changes.iter().map(move |c| {
+            now.take(&c.what);
+            (c.at, now.clone())
+        })
+    }
+
+    /// The last state.
+    pub fn now(&self) -> Now {
+        self.states().last().map(|(_, now)| now).unwrap_or_default()
+    }
+
+    /// When it avoided a matter: from, until (`None`: to the end), and which life of it.
+    pub fn avoided(&self, matter: &str) -> Vec<(Micros, Option<Micros>, u32)> {
+        let mut spans: Vec<(Micros, Option<Micros>, u32)> = Vec::new();
+        let mut out = false;
+        for c in &self.changes {
+            match &c.what {
+                What::Avoids(m) if m == matter && !out => {
+                    spans.push((c.at, None, c.life));
+                    out = true;
+                }
+                What::Returns(m) if m != matter => {}
+                What::Returns(_) | What::Started | What::Ended => {
+                    if let Some(last) = spans.last_mut().filter(|_| out) {
+                        last.1 = Some(c.at);
+                    }
+                    out = false;
+                }
+                _ => {}
+            }
+        }
+        spans
+    }
+}
+
+/// By whom a forwarder knows a planner: `(forwarder, address)` to the planner's name.
+pub type Planners = BTreeMap<(String, String), String>;
+
+/// The events that views are made of.
+pub fn wanted(line: &Line) -> bool {
+    let lab = [told::STARTED, told::ENDED, told::STOPPED, told::RESUMED];
+    let own = ["plan_avoids", "plan_returns", "planner_up", "planner_down", "silent", "lives"];
+    match line.by {
+        By::Lab => lab.contains(&line.event.as_str()),
+        By::Process => own.contains(&line.event.as_str()),
+    }
+}
+
+/// The tracks of these processes. `nodes` names the nodes by the numbers that planners know them by.
+pub fn tracks(
+    lines: &[Arc<Line>],
+    processes: &[&str],
+    planners: &Planners,
+    nodes: &BTreeMap<u64, String>,
+) -> BTreeMap<String, Track> {
+    let mut tracks: BTreeMap<String, Track> =
+        processes.iter().map(|name| ((*name).to_owned(), Track::default())).collect();
+    for line in lines {
+        let Some(track) = tracks.get_mut(&*line.process) else { continue };
+        let planner = || {
+            let address = line.text("planner").unwrap_or_default().to_owned();
+            let known = planners.get(&(line.process.to_string(), address.clone()));
+            known.cloned().unwrap_or(address)
+        };
+        let matter = || {
+            let what = line.text("what").unwrap_or_default();
+            what.strip_prefix("node ").unwrap_or(what).to_owned()
+        };
+        let node = || line.number("node").and_then(|n| nodes.get(&n).cloned()).unwrap_or_default();
+        let what = match (line.by, line.event.as_str()) {
+            (By::Lab, told::STARTED) => What::Started,
+            (By::Lab, told::ENDED) => What::Ended,
+            (By::Lab, told::STOPPED) => What::Stopped,
+            (By::Lab, told::RESUMED) => What::Resumed,
+            (By::Process, "plan_avoids") => What::Avoids(matter()),
+            (By::Process, "plan_returns") => What::Returns(matter()),
+            (By::Process, "planner_up") => What::Hears(planner()),
+            (By::Process, "planner_down") => What::Misses(planner()),
+            (By::Process, "silent") => What::Avoids(node()),
+            (By::Process, "lives") => What::Returns(node()),
+            _ => continue,
+        };
+        track.changes.push(Change { at: line.at_us, life: line.life, what });
+    }
+    tracks
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_process_that_starts_anew_sees_nothing_yet() {
+        let change = |at, life, what| Change { at, life, what };
+        let track = Track {
+            changes: vec![
+                change(0, 1, What::Started),
+                change(1, 1, What::Hears("p0".into())),
+                change(2, 1, What::Avoids("s1".into())),
+                change(3, 1, What::Ended),
+                change(4, 2, What::Started),
+                change(5, 2, What::Avoids("s1".into())),
+                change(6, 2, What::Returns("s2".into())),
+                change(7, 2, What::Returns("s1".into())),
+                change(8, 2, What::Avoids("s1".into())),
+            ],
+        };
+        assert_eq!(track.avoided("s1"), [(2, Some(3), 1), (5, Some(7), 2), (8, None, 2)]);
+        let states: Vec<(Micros, Now)> = track.states().collect();
+        assert_eq!(states[4].1, Now { runs: true, ..Now::default() });
+        assert_eq!(track.now().avoids.len(), 1);
+    }
+}
--- a/crates/world/src/fleet/truth.rs
+++ b/crates/world/src/fleet/truth.rs
@@ -62,6 +62,11 @@
         self.0.iter().any(|(a, b)| *a <= until && from < *b)
     }
 
+    /// How much of this time is in it.
+    pub fn within(&self, from: Micros, until: Micros) -> Micros {
+        self.0.iter().map(|(a, b)| (*b.min(&until) - *a.max(&from)).max(0)).sum()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (Micros, Micros)> + '_ {
         self.0.iter().copied()
     }
@@ -188,6 +193,15 @@
         self.apart(planner, forwarder).or(&self.either_way(&self.troubled, planner, forwarder))
     }
 
+    /// When a forwarder may hear no planner in time.
+    pub fn unguided(&self, forwarder: usize) -> Spans {
+        let mut all = self.planners.iter().map(|p| self.unsure(*p, forwarder));
+        match all.next() {
+            None => Spans(vec![(Micros::MIN, Micros::MAX)]),
+            Some(first) => all.fold(first, |a, b| a.and(&b)),
+        }
+    }
+
     /// When a forwarder certainly hears no planner.
     pub fn alone(&self, forwarder: usize) -> Spans {
         let mut all = self.planners.iter().map(|p| self.apart(*p, forwarder));
