Give lab fleet its commands, its report and its search

Need: schedules are to be run, checked, searched and replayed by hand. Change: lab fleet run, check, search and replay, a report with a lane a process, a planted fault behind a feature.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod compare;
 mod cost;
 mod demo;
+mod fleet;
 mod output;
 mod replay;
 mod run;
@@ -48,6 +49,8 @@
     Search(search::Search),
     /// Play a failure again that a search has found
     Replay(replay::Replay),
+    /// Play schedules of faults between real planners and forwarders on loopback
+    Fleet(fleet::Fleet),
     /// Measure what a request through the real proxy costs, beside one straight to a node
     Cost(cost::Cost),
 }
@@ -112,6 +115,7 @@
         Command::Replay(command) => command.carry_out(),
         Command::Demo(command) => command.carry_out(),
         Command::Cost(command) => command.carry_out(),
+        Command::Fleet(command) => command.carry_out(),
     };
     match found {
         Ok(Finding::Good) => ExitCode::SUCCESS,
--- a/crates/lab/src/commands/output.rs
+++ b/crates/lab/src/commands/output.rs
@@ -31,6 +31,11 @@
         Out { out: Some(folder) }
     }
 
+    /// The folder, where there is one.
+    pub fn folder(&self) -> Option<&Path> {
+        self.out.as_deref()
+    }
+
     /// Writes the files, each a name with its text. `files` is called only where a folder was named.
     pub fn write<E>(
         &self,
--- a/crates/lab/src/loopback/children/guard.rs
+++ b/crates/lab/src/loopback/children/guard.rs
@@ -8,6 +8,7 @@
 //! over execve(2). To ignore a signal takes a call that is not safe, so a shell makes it, on the way to the program.
 
 use super::Limits;
+use crate::fleet::plant::plant;
 use async_signal::{Signal as Heard, Signals};
 use rustix::process::{getppid, getrlimit, set_parent_process_death_signal, setrlimit};
 use rustix::process::{Resource, Rlimit, Signal};
@@ -91,7 +92,10 @@
     let why = match words.next()?.to_str()? {
         PROXY => match proxy(words) {
             // Its configuration is named in the environment, as on the platform.
-            Ok(words) => return Some(martenweir::commands::main(words)),
+            Ok(words) => {
+                plant();
+                return Some(martenweir::commands::main(words));
+            }
             Err(why) => why,
         },
         PROGRAM => become_program(words),
--- a/crates/lab/src/report/plot.rs
+++ b/crates/lab/src/report/plot.rs
@@ -225,6 +225,86 @@
     })
 }
 
+/// A stretch of a lane: from, until, and how dark it is, 0 to 1.
+pub type Stretch = (f64, f64, f64);
+
+/// A row of a picture of lanes.
+#[derive(Clone, Debug, Default)]
+pub struct Lane {
+    pub name: String,
+    /// What it sees, as a shade.
+    pub shades: Vec<Stretch>,
+    /// When it is not there, and when it stands still: drawn over the shades.
+    pub away: Vec<(f64, f64)>,
+    pub still: Vec<(f64, f64)>,
+    /// When it lacks somebody whom it should hear: a line along the lower edge, as dark as there are many.
+    pub lacks: Vec<Stretch>,
+}
+
+const AWAY: RGBColor = RGBColor(200, 200, 200);
+const STILL: RGBColor = RGBColor(230, 159, 0);
+const LACKS: RGBColor = RGBColor(204, 121, 167);
+
+/// A lane for each process over time, with the faults shaded behind all of them and named at the top.
+pub fn lanes(lanes: &[Lane], span: (f64, f64), faults: &[FaultMark]) -> Result<String, PlotError> {
+    let count = lanes.len().max(1) as u32;
+    let height = (1_200 / count).clamp(12, 26);
+    let (from, to) = if span.0 < span.1 { span } else { (0.0, 1.0) };
+    draw(90 + count * height, |area| {
+        area.fill(&WHITE)?;
+        // One more row at the top for the names of faults.
+        let top = f64::from(count) + 2.0;
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .margin_right(24)
+            .set_label_area_size(LabelAreaPosition::Left, LABELS)
+            .set_label_area_size(LabelAreaPosition::Bottom, 36)
+            .build_cartesian_2d(from..to, 0.0..top)?;
+        mark(&mut chart, faults, (from, to), (0.0, top))?;
+        chart
+            .configure_mesh()
+            .disable_mesh()
+            .y_labels(0)
+            .axis_style(INK.mix(0.5))
+            .label_style((FONT, 13).into_font().color(&INK))
+            .axis_desc_style((FONT, 13).into_font().color(&INK))
+            .x_label_formatter(&|x| short(*x))
+            .x_desc("s")
+            .draw()?;
+        for (row, lane) in lanes.iter().enumerate() {
+            let y = f64::from(count) - 1.0 - row as f64;
+            let mut bar = |a: f64, b: f64, low: f64, high: f64, colour: RGBAColor| -> Drawn {
+                let (a, b) = (a.clamp(from, to), b.clamp(from, to));
+                if a < b {
+                    let bar = Rectangle::new([(a, y + low), (b, y + high)], colour.filled());
+                    chart.draw_series([bar])?;
+                }
+                Ok(())
+            };
+            bar(from, to, 0.12, 0.88, shade(0.0).mix(0.7))?;
+            for (a, b, dark) in lane.shades.iter().filter(|(.., dark)| *dark > 0.0) {
+                bar(*a, *b, 0.12, 0.88, shade(*dark).mix(1.0))?;
+            }
+            for (a, b, dark) in lane.lacks.iter().filter(|(.., dark)| *dark > 0.0) {
+                bar(*a, *b, 0.0, 0.2, LACKS.mix(dark.clamp(0.3, 1.0)))?;
+            }
+            for (a, b) in &lane.away {
+                bar(*a, *b, 0.12, 0.88, AWAY.mix(1.0))?;
+            }
+            for (a, b) in &lane.still {
+                bar(*a, *b, 0.12, 0.88, STILL.mix(0.8))?;
+            }
+            let (_, middle) = chart.backend_coord(&(from, y + 0.5));
+            let style = (FONT, 12).into_font().color(&INK).pos(plotters::style::text_anchor::Pos::new(
+                plotters::style::text_anchor::HPos::Right,
+                plotters::style::text_anchor::VPos::Center,
+            ));
+            area.draw(&Text::new(lane.name.clone(), (LABELS as i32, middle), style))?;
+        }
+        Ok(())
+    })
+}
+
 /// From almost white at 0 to dark blue at 1 and above.
 fn shade(load: f64) -> RGBColor {
     let part = load.clamp(0.0, 1.0);
@@ -312,6 +392,14 @@
         assert!(svg.contains("hall_cut") && svg.contains("<rect"), "{svg}");
     }
 
+    #[test]
+    fn a_lane_shows_what_it_sees_and_when_it_is_not_there() {
+        let lane = Lane { name: "f0".into(), shades: vec![(1.0, 2.0, 0.5)], ..Lane::default() };
+        let gone = Lane { away: vec![(2.0, 9.0)], ..lane.clone() };
+        let count = |lane: Lane| lanes(&[lane], (0.0, 4.0), &[]).unwrap().matches("<rect").count();
+        assert_eq!(count(gone), count(lane) + 1);
+    }
+
     #[test]
     fn a_long_line_is_thinned_and_keeps_its_mean() {
         let points: Vec<(f64, Option<f64>)> =
@@ -327,5 +415,6 @@
         assert!(lines(&[], Axes::default()).unwrap().starts_with("<svg"));
         assert!(map(&[], &[], &[]).unwrap().starts_with("<svg"));
         assert!(dots(&[], "served_worth").unwrap().starts_with("<svg"));
+        assert!(lanes(&[], (0.0, 0.0), &[]).unwrap().starts_with("<svg"));
     }
 }
--- a/crates/lab/src/search/shrink.rs
+++ b/crates/lab/src/search/shrink.rs
@@ -13,6 +13,9 @@
 pub trait Shrink: Clone + PartialEq {
     type Fault: Timed;
 
+    /// Whether a shorter one is played sooner, so that it pays to cut the time before anything else.
+    const SOONER: bool;
+
     fn seconds(&mut self) -> &mut f64;
 
     fn faults(&mut self) -> &mut Vec<Self::Fault>;
@@ -54,7 +57,9 @@
     let longest = *best.seconds();
     let mut search = Search { best, longest, left: calls, fails: &mut fails };
     // What is dropped first saves the most time for what follows.
-    search.shorten(ends_s);
+    if S::SOONER {
+        search.shorten(ends_s);
+    }
     loop {
         let before = search.best.clone();
         search.drop_faults();
@@ -237,6 +242,8 @@
 impl Shrink for Scenario {
     type Fault = Fault;
 
+    const SOONER: bool = true;
+
     fn seconds(&mut self) -> &mut f64 {
         &mut self.seconds
     }
--- a/crates/plan/src/rules.rs
+++ b/crates/plan/src/rules.rs
@@ -29,6 +29,24 @@
     NumbersGoBack,
 }
 
+/// What rules of this process have planted from now on, unless they say otherwise: for hosts that start whole programs.
+#[cfg(feature = "planted")]
+static PLANTED: std::sync::OnceLock<Planted> = std::sync::OnceLock::new();
+
+/// Plants a fault in all rules that this process makes from now on; once.
+#[cfg(feature = "planted")]
+pub fn plant(fault: Planted) {
+    let _ = PLANTED.set(fault);
+}
+
+/// What is planted in rules that say nothing of it.
+fn planted() -> Option<Planted> {
+    #[cfg(feature = "planted")]
+    return PLANTED.get().copied();
+    #[cfg(not(feature = "planted"))]
+    return None;
+}
+
 /// Parts are multiples of this: they are the same as `f32`, and sums of them are exact.
 pub const GRAIN: f64 = 1.0 / (1u64 << 20) as f64;
 
@@ -149,7 +167,7 @@
             terms_fade: 8 * SECOND,
             dial_after: 200 * MS,
             dial_most: 5 * SECOND,
-            planted: None,
+            planted: planted(),
         }
     }
 }
