--- a/crates/lab/src/fleet/links/mod.rs
+++ b/crates/lab/src/fleet/links/mod.rs
@@ -6,22 +6,29 @@
 //! stand-ins, which have a network of their own ([`crate::loopback`]).
 
 mod owner;
+mod room;
+mod tcp;
+mod udp;
 mod way;
 
-pub use way::{Lateness, Traffic, VOID_P99_US, VOID_WORST_US};
+pub use room::{Lateness, VOID_P99_US, VOID_WORST_US};
+pub use way::Traffic;
 pub use world::fleet::link::{Condition, Delay};
 
 use async_channel::Sender;
-use owner::{Answer, Order};
+use owner::{Name, Order};
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
 
+/// Orders that may wait for the relays' thread.
+const ORDERS: usize = 64;
+
 /// The relays of a fleet. All methods may be called from any thread, and wait for the relays' thread: what
 /// is set holds for all that happens after the call.
-#[derive(Debug)]
 pub struct Links {
-    orders: Sender<(Order, Sender<Answer>)>,
+    orders: Sender<Order>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -31,8 +38,11 @@
     /// # Errors
     ///
     /// The system gives no thread.
-    pub fn start(_seed: u64) -> io::Result<Links> {
-        todo!()
+    pub fn start(seed: u64) -> io::Result<Links> {
+        let (orders, told) = async_channel::bounded(ORDERS);
+        let thread =
+            std::thread::Builder::new().name("links".into()).spawn(move || owner::run(seed, &told))?;
+        Ok(Links { orders, thread: Some(thread) })
     }
 
     /// The address that `from`'s configuration names for `to`'s port; `target` is where `to` listens. Names are the
@@ -41,8 +51,8 @@
     /// # Errors
     ///
     /// No socket to be had, too many relays, or the relays' thread has ended.
-    pub fn tcp(&self, _from: &str, _to: &str, _port: &str, _target: SocketAddr) -> io::Result<SocketAddr> {
-        todo!()
+    pub fn tcp(&self, from: &str, to: &str, port: &str, target: SocketAddr) -> io::Result<SocketAddr> {
+        self.ask(|reply| Order::Tcp(name(from, to, port), target, reply))?
     }
 
     /// As [`Links::tcp`] for datagrams. `to` sees them come from a socket of the relay's own; what it sends there goes
@@ -51,8 +61,8 @@
     /// # Errors
     ///
     /// As [`Links::tcp`].
-    pub fn udp(&self, _from: &str, _to: &str, _port: &str, _target: SocketAddr) -> io::Result<SocketAddr> {
-        todo!()
+    pub fn udp(&self, from: &str, to: &str, port: &str, target: SocketAddr) -> io::Result<SocketAddr> {
+        self.ask(|reply| Order::Udp(name(from, to, port), target, reply))?
     }
 
     /// For protocols in which an address names a member: `a` and `b` each have one socket, at `at_a` and `at_b`. The
@@ -63,13 +73,13 @@
     /// As [`Links::tcp`].
     pub fn udp_pair(
         &self,
-        _a: &str,
-        _b: &str,
-        _port: &str,
-        _at_a: SocketAddr,
-        _at_b: SocketAddr,
+        a: &str,
+        b: &str,
+        port: &str,
+        at_a: SocketAddr,
+        at_b: SocketAddr,
     ) -> io::Result<(SocketAddr, SocketAddr)> {
-        todo!()
+        self.ask(|reply| Order::UdpPair(name(a, b, port), [at_a, at_b], reply))?
     }
 
     /// `to` was started anew and listens elsewhere. Ends a [`Links::shut`]. Connections that are up stay as they are.
@@ -77,8 +87,8 @@
     /// # Errors
     ///
     /// There is no such link, or the relays' thread has ended.
-    pub fn aim(&self, _to: &str, _port: &str, _target: SocketAddr) -> io::Result<()> {
-        todo!()
+    pub fn aim(&self, to: &str, port: &str, target: SocketAddr) -> io::Result<()> {
+        self.ask(|reply| Order::Aim(to.into(), port.into(), Some(target), reply))?
     }
 
     /// Nobody listens on `to`'s port: new connections are refused by the system itself, as where the process has
@@ -87,8 +97,8 @@
     /// # Errors
     ///
     /// As [`Links::aim`].
-    pub fn shut(&self, _to: &str, _port: &str) -> io::Result<()> {
-        todo!()
+    pub fn shut(&self, to: &str, port: &str) -> io::Result<()> {
+        self.ask(|reply| Order::Aim(to.into(), port.into(), None, reply))?
     }
 
     /// What befalls messages from `from` to `to` from now on, on every link between the two, whichever of them opened
@@ -97,13 +107,13 @@
     /// # Errors
     ///
     /// The condition makes no sense, or the relays' thread has ended.
-    pub fn set(&self, _from: &str, _to: &str, _condition: Condition) -> io::Result<()> {
-        todo!()
+    pub fn set(&self, from: &str, to: &str, condition: Condition) -> io::Result<()> {
+        self.ask(|reply| Order::Set(from.into(), to.into(), condition, reply))?
     }
 
     /// What was set last; a whole link if nothing was.
-    pub fn get(&self, _from: &str, _to: &str) -> Condition {
-        todo!()
+    pub fn get(&self, from: &str, to: &str) -> Condition {
+        self.ask(|reply| Order::Get(from.into(), to.into(), reply)).unwrap_or_default()
     }
 
     /// Resets the connections between the two that are up or coming up, at both ends, whoever opened them, whatever the
@@ -112,17 +122,67 @@
     /// # Errors
     ///
     /// The relays' thread has ended.
-    pub fn reset(&self, _from: &str, _to: &str) -> io::Result<u64> {
-        todo!()
+    pub fn reset(&self, from: &str, to: &str) -> io::Result<u64> {
+        self.ask(|reply| Order::Reset(from.into(), to.into(), reply))
     }
 
     /// How late the relays were so far.
     pub fn lateness(&self) -> Lateness {
-        todo!()
+        self.ask(Order::Lateness).unwrap_or(Lateness::UNKNOWN)
     }
 
     /// What went from `from` to `to` so far.
-    pub fn traffic(&self, _from: &str, _to: &str) -> Traffic {
-        todo!()
+    pub fn traffic(&self, from: &str, to: &str) -> Traffic {
+        self.ask(|reply| Order::Traffic(from.into(), to.into(), reply)).unwrap_or_default()
+    }
+
+    fn ask<T>(&self, order: impl FnOnce(Sender<T>) -> Order) -> io::Result<T> {
+        let ended = |_| io::Error::other("the thread of the links has ended");
+        let (reply, answer) = async_channel::bounded(1);
+        self.orders.send_blocking(order(reply)).map_err(|_| ended(async_channel::RecvError))?;
+        answer.recv_blocking().map_err(ended)
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        self.orders.close();
+        if let Some(thread) = self.thread.take() {
+            // One that panicked has said so.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl fmt::Debug for Links {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Links").finish_non_exhaustive()
+    }
+}
+
+fn name(from: &str, to: &str, port: &str) -> Name {
+    Name { from: from.into(), to: to.into(), port: port.into() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn a_pause_of_the_relays_thread_is_noticed_and_voids_a_run() {
+        let links = Links::start(1).expect("a thread");
+        let pause = Duration::from_micros(VOID_WORST_US) + Duration::from_millis(50);
+        links.ask(|reply| Order::Sleep(pause, reply)).expect("it slept");
+        let late = links.lateness();
+        assert!(late.void && late.worst_us > VOID_WORST_US, "{late:?}");
+    }
+
+    #[test]
+    fn relays_that_have_ended_say_so() {
+        let links = Links::start(1).expect("a thread");
+        assert_eq!(links.set("a", "b", Condition::cut()).ok(), Some(()));
+        links.orders.close();
+        assert!(links.set("a", "b", Condition::cut()).is_err() && links.lateness().void);
     }
 }
--- a/crates/lab/src/fleet/links/owner.rs
+++ b/crates/lab/src/fleet/links/owner.rs
@@ -1,5 +1,400 @@
-//! The thread of the relays.
-#[derive(Debug)]
-pub enum Order {}
-#[derive(Debug)]
-pub enum Answer {}
+//! The thread of the relays: it owns all of them, their sockets and tasks, and carries out one order at a time.
+
+use super::room::{Lateness, Room};
+use super::tcp;
+use super::udp::Post;
+use super::way::{Traffic, Way};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::{future, StreamExt};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+use world::fleet::link::Condition;
+
+/// Relays of one [`super::Links`].
+pub const RELAYS: usize = 8192;
+/// Connections through one relay that are up or coming up.
+pub const CONNECTIONS: usize = 1024;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// Things heard that may wait for the owner before sockets wait in their turn.
+const HEARD: usize = 1024;
+
+/// The ends of a link and the port it is for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name {
+    pub from: String,
+    pub to: String,
+    pub port: String,
+}
+
+pub enum Order {
+    Tcp(Name, SocketAddr, Sender<io::Result<SocketAddr>>),
+    Udp(Name, SocketAddr, Sender<io::Result<SocketAddr>>),
+    UdpPair(Name, [SocketAddr; 2], Sender<io::Result<(SocketAddr, SocketAddr)>>),
+    /// `None`: nobody listens there.
+    Aim(String, String, Option<SocketAddr>, Sender<io::Result<()>>),
+    Set(String, String, Condition, Sender<io::Result<()>>),
+    Get(String, String, Sender<Condition>),
+    Reset(String, String, Sender<u64>),
+    Lateness(Sender<Lateness>),
+    Traffic(String, String, Sender<Traffic>),
+    /// The thread does nothing for so long.
+    #[cfg(test)]
+    Sleep(Duration, Sender<()>),
+}
+
+enum Heard {
+    Accepted(Name, Async<TcpStream>),
+    Ended(u64),
+}
+
+struct TcpRelay {
+    target: Rc<Cell<SocketAddr>>,
+    /// Keeps the number while nobody listens.
+    _held: Socket,
+    address: SocketAddr,
+    /// The task owns the listener, of which this is a second handle.
+    listens: Option<(Rc<Async<TcpListener>>, Task<()>)>,
+    /// The process there is known to listen no more.
+    shut: bool,
+    up: usize,
+    there: Rc<Way>,
+    back: Rc<Way>,
+}
+
+struct UdpRelay {
+    near: SocketAddr,
+    far: SocketAddr,
+    /// Where the process `from` and the process `to` are.
+    at_from: Rc<Cell<Option<SocketAddr>>>,
+    at_to: Rc<Cell<Option<SocketAddr>>>,
+    /// Whether `from` is where it was heard last.
+    learns: bool,
+    _tasks: [Task<()>; 2],
+}
+
+struct Connection {
+    relay: Name,
+    task: Task<()>,
+}
+
+/// Until the orders end. All that is left then goes with the executor.
+pub fn run(seed: u64, orders: &Receiver<Order>) {
+    let Some(room) = Room::new() else { return };
+    let executor = LocalExecutor::new();
+    let room = Rc::new(room);
+    let (tell, heard) = async_channel::bounded(HEARD);
+    let beat = executor.spawn({
+        let room = room.clone();
+        async move { room.beat().await }
+    });
+    let mut owner = Owner {
+        executor: &executor,
+        seed,
+        room,
+        ways: BTreeMap::new(),
+        tcp: BTreeMap::new(),
+        udp: BTreeMap::new(),
+        connections: HashMap::new(),
+        count: 0,
+        tell,
+    };
+    async_io::block_on(executor.run(owner.run(orders, &heard)));
+    drop(beat);
+}
+
+struct Owner<'a> {
+    executor: &'a LocalExecutor<'static>,
+    seed: u64,
+    room: Rc<Room>,
+    ways: BTreeMap<(String, String), Rc<Way>>,
+    tcp: BTreeMap<Name, TcpRelay>,
+    udp: BTreeMap<Name, UdpRelay>,
+    connections: HashMap<u64, Connection>,
+    count: u64,
+    tell: Sender<Heard>,
+}
+
+impl Owner<'_> {
+    async fn run(&mut self, orders: &Receiver<Order>, heard: &Receiver<Heard>) {
+        enum Next {
+            Order(Option<Order>),
+            Heard(Option<Heard>),
+        }
+        loop {
+            let order = async { Next::Order(orders.recv().await.ok()) };
+            let hears = async { Next::Heard(heard.recv().await.ok()) };
+            match future::or(order, hears).await {
+                Next::Order(None) | Next::Heard(None) => return,
+                Next::Heard(Some(heard)) => self.hear(heard),
+                Next::Order(Some(order)) => {
+                    // What came before the order is not to outlive it.
+                    while let Ok(heard) = heard.try_recv() {
+                        self.hear(heard);
+                    }
+                    self.carry_out(order).await;
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, heard: Heard) {
+        match heard {
+            Heard::Accepted(name, socket) => self.accepted(name, socket),
+            Heard::Ended(id) => {
+                if let Some(relay) = self.connections.remove(&id).and_then(|c| self.tcp.get_mut(&c.relay)) {
+                    relay.up -= 1;
+                }
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Tcp(name, target, reply) => answer(&reply, self.open_tcp(name, target).await),
+            Order::Udp(name, target, reply) => {
+                answer(&reply, self.open_udp(name, None, target).map(|(near, _)| near));
+            }
+            Order::UdpPair(name, [from, to], reply) => answer(&reply, self.open_udp(name, Some(from), to)),
+            Order::Aim(to, port, target, reply) => answer(&reply, self.aim(&to, &port, target).await),
+            Order::Set(from, to, condition, reply) => answer(&reply, self.set(from, to, condition).await),
+            Order::Get(from, to, reply) => {
+                answer(&reply, self.ways.get(&(from, to)).map(|w| w.condition()).unwrap_or_default());
+            }
+            Order::Reset(from, to, reply) => answer(&reply, self.reset(&from, &to).await),
+            Order::Lateness(reply) => answer(&reply, self.room.lateness()),
+            Order::Traffic(from, to, reply) => {
+                answer(&reply, self.ways.get(&(from, to)).map(|w| w.traffic()).unwrap_or_default());
+            }
+            #[cfg(test)]
+            Order::Sleep(time, reply) => {
+                std::thread::sleep(time);
+                answer(&reply, ());
+            }
+        }
+    }
+
+    fn way(&mut self, from: &str, to: &str) -> Rc<Way> {
+        let seed = self.seed;
+        let way = self.ways.entry((from.to_owned(), to.to_owned()));
+        way.or_insert_with(|| Rc::new(Way::new(seed, from, to))).clone()
+    }
+
+    fn has_room(&self) -> io::Result<()> {
+        if self.tcp.len() + self.udp.len() >= RELAYS {
+            return Err(io::Error::other(format!("more than {RELAYS} links")));
+        }
+        Ok(())
+    }
+
+    async fn open_tcp(&mut self, name: Name, target: SocketAddr) -> io::Result<SocketAddr> {
+        if let Some(relay) = self.tcp.get_mut(&name) {
+            relay.target.set(target);
+            relay.shut = false;
+            let address = relay.address;
+            self.settle(&name).await?;
+            return Ok(address);
+        }
+        self.has_room()?;
+        // Two sockets share the number: this one holds it, the one that listens comes and goes.
+        let held = bound(0)?;
+        let address = held.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let relay = TcpRelay {
+            target: Rc::new(Cell::new(target)),
+            _held: held,
+            address,
+            listens: None,
+            shut: false,
+            up: 0,
+            there: self.way(&name.from, &name.to),
+            back: self.way(&name.to, &name.from),
+        };
+        self.tcp.insert(name.clone(), relay);
+        self.settle(&name).await?;
+        Ok(address)
+    }
+
+    /// Listens, or refuses: as it is to be now.
+    async fn settle(&mut self, name: &Name) -> io::Result<()> {
+        let Some(relay) = self.tcp.get_mut(name) else { return Ok(()) };
+        let listens = !relay.shut && !relay.there.refuses();
+        if listens == relay.listens.is_some() {
+            return Ok(());
+        }
+        if let Some((listener, task)) = relay.listens.take() {
+            task.cancel().await;
+            drop(listener);
+            return Ok(());
+        }
+        let socket = bound(relay.address.port())?;
+        socket.listen(BACKLOG)?;
+        let listener = Rc::new(Async::new(TcpListener::from(socket))?);
+        let task = self.executor.spawn(accept(listener.clone(), name.clone(), self.tell.clone()));
+        relay.listens = Some((listener, task));
+        Ok(())
+    }
+
+    fn accepted(&mut self, name: Name, socket: Async<TcpStream>) {
+        let Some(relay) = self.tcp.get_mut(&name) else { return };
+        relay.there.count(|t| t.connections += 1);
+        if relay.listens.is_none() || relay.up >= CONNECTIONS {
+            // Dropped, it is reset.
+            relay.there.count(|t| t.refused += 1);
+            return;
+        }
+        relay.up += 1;
+        self.count += 1;
+        let (id, tell) = (self.count, self.tell.clone());
+        let (there, back) = (relay.there.clone(), relay.back.clone());
+        let work = tcp::connection(socket, relay.target.clone(), there, back, self.room.clone());
+        let task = self.executor.spawn(async move {
+            work.await;
+            let _ = tell.send(Heard::Ended(id)).await;
+        });
+        self.connections.insert(id, Connection { relay: name, task });
+    }
+
+    fn open_udp(
+        &mut self,
+        name: Name,
+        from: Option<SocketAddr>,
+        to: SocketAddr,
+    ) -> io::Result<(SocketAddr, SocketAddr)> {
+        if let Some(relay) = self.udp.get_mut(&name) {
+            if relay.learns == from.is_some() {
+                return Err(io::Error::other("that link exists and is of the other kind, alone or a pair"));
+            }
+            relay.at_to.set(Some(to));
+            if from.is_some() {
+                relay.at_from.set(from);
+            }
+            return Ok((relay.near, relay.far));
+        }
+        self.has_room()?;
+        let socket = || Async::<UdpSocket>::bind((Ipv4Addr::LOCALHOST, 0)).map(Rc::new);
+        let (near, far) = (socket()?, socket()?);
+        let addresses = (near.get_ref().local_addr()?, far.get_ref().local_addr()?);
+        let (at_from, at_to) = (Rc::new(Cell::new(from)), Rc::new(Cell::new(Some(to))));
+        let there = Post {
+            from: near.clone(),
+            by: far.clone(),
+            to: at_to.clone(),
+            learn: from.is_none().then(|| at_from.clone()),
+            way: self.way(&name.from, &name.to),
+            room: self.room.clone(),
+        };
+        let back = Post {
+            from: far,
+            by: near,
+            to: at_from.clone(),
+            learn: None,
+            way: self.way(&name.to, &name.from),
+            room: self.room.clone(),
+        };
+        let tasks = [self.executor.spawn(there.run()), self.executor.spawn(back.run())];
+        let (near, far) = addresses;
+        let relay = UdpRelay { near, far, at_from, at_to, learns: from.is_none(), _tasks: tasks };
+        self.udp.insert(name, relay);
+        Ok(addresses)
+    }
+
+    async fn aim(&mut self, to: &str, port: &str, target: Option<SocketAddr>) -> io::Result<()> {
+        let mut found = false;
+        let mut settle = Vec::new();
+        for (name, relay) in self.tcp.iter_mut().filter(|(n, _)| n.to == to && n.port == port) {
+            found = true;
+            relay.shut = target.is_none();
+            if let Some(target) = target {
+                relay.target.set(target);
+            }
+            settle.push(name.clone());
+        }
+        for (_, relay) in self.udp.iter().filter(|(n, _)| n.to == to && n.port == port) {
+            found = true;
+            relay.at_to.set(target);
+        }
+        let pairs = self.udp.iter().filter(|(n, r)| !r.learns && n.from == to && n.port == port);
+        for (_, relay) in pairs {
+            found = true;
+            relay.at_from.set(target);
+        }
+        if !found {
+            return Err(io::Error::other(format!("no link to {to}'s port {port}")));
+        }
+        for name in settle {
+            self.settle(&name).await?;
+        }
+        Ok(())
+    }
+
+    async fn set(&mut self, from: String, to: String, condition: Condition) -> io::Result<()> {
+        condition.check().map_err(io::Error::other)?;
+        self.way(&from, &to).set(condition);
+        let of: Vec<Name> = self.tcp.keys().filter(|n| n.from == from && n.to == to).cloned().collect();
+        for name in of {
+            self.settle(&name).await?;
+        }
+        Ok(())
+    }
+
+    async fn reset(&mut self, from: &str, to: &str) -> u64 {
+        let between = |n: &Name| (n.from == from && n.to == to) || (n.from == to && n.to == from);
+        // Those that nobody has accepted yet are up for their opener.
+        let mut count = 0;
+        for (_, relay) in self.tcp.iter().filter(|(n, _)| between(n)) {
+            let Some((listener, _)) = &relay.listens else { continue };
+            while let Ok((socket, _)) = listener.get_ref().accept() {
+                relay.there.count(|t| t.connections += 1);
+                tcp::prepare(&socket);
+                count += 1;
+            }
+        }
+        let ids: Vec<u64> =
+            self.connections.iter().filter(|(_, c)| between(&c.relay)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let Some(connection) = self.connections.remove(&id) else { continue };
+            if let Some(relay) = self.tcp.get_mut(&connection.relay) {
+                relay.up -= 1;
+            }
+            // One that has just ended by itself is none of them.
+            count += u64::from(connection.task.cancel().await.is_none());
+        }
+        count
+    }
+}
+
+/// Whoever asked may be gone: an answer that finds nobody is dropped.
+fn answer<T>(reply: &Sender<T>, with: T) {
+    let _ = reply.try_send(with);
+}
+
+/// A socket on a port of 127.0.0.1, which others may share as long as one of them listens.
+fn bound(port: u16) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SockAddr::from(SocketAddr::from((Ipv4Addr::LOCALHOST, port))))?;
+    Ok(socket)
+}
+
+async fn accept(listener: Rc<Async<TcpListener>>, name: Name, tell: Sender<Heard>) {
+    let mut incoming = Box::pin(listener.incoming());
+    while let Some(socket) = incoming.next().await {
+        match socket {
+            Ok(socket) => {
+                tcp::prepare(socket.get_ref());
+                if tell.send(Heard::Accepted(name.clone(), socket)).await.is_err() {
+                    return;
+                }
+            }
+            // No descriptors, or a connection that is gone already: the next one may do better.
+            Err(_) => drop(Timer::after(Duration::from_millis(5)).await),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/links/tcp.rs
@@ -0,0 +1,362 @@
+//! A connection through a relay: both its sockets, and for each direction what has been read and not yet written.
+//!
+//! Bytes are neither lost nor doubled nor put out of order, whatever the conditions. The end of one direction is passed
+//! on as that and does not touch the other. Both sockets are set to end with a reset, so that whoever drops a
+//! connection resets it; only one that both sides have ended is closed.
+
+use super::room::{Room, READ};
+use super::way::Way;
+use async_io::Async;
+use event_listener::Event;
+use futures_lite::future;
+use rustix::event::{PollFd, PollFlags, Timespec};
+use socket2::SockRef;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use world::fleet::link::{garble, ChunkFate};
+use world::Micros;
+
+/// Bytes of one direction that a relay holds; beyond that it reads no more, and the sender's system fills up.
+pub const BUFFERED: usize = 256 * 1024;
+/// What the system is to keep for a socket of a relay, each way. Linux takes twice as much, for what it adds to bytes.
+const KERNEL: usize = 128 * 1024;
+/// How often a connection that is held before it came up is looked at: whether its opener is still there.
+const LOOK_US: Micros = 200_000;
+
+/// Takes over a socket: small buffers, no waiting for more bytes, a reset when it is dropped.
+pub fn prepare(socket: &TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let s = SockRef::from(socket);
+    let _ = s.set_linger(Some(Duration::ZERO));
+    let _ = s.set_recv_buffer_size(KERNEL);
+    let _ = s.set_send_buffer_size(KERNEL);
+}
+
+/// Whether the other side has ended its direction or all of it, even if there are bytes before that.
+fn has_left(socket: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    rustix::event::poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0)
+}
+
+/// Carries an accepted connection to its end. `there` is the direction of its opener.
+pub async fn connection(
+    near: Async<TcpStream>,
+    target: Rc<Cell<SocketAddr>>,
+    there: Rc<Way>,
+    back: Rc<Way>,
+    room: Rc<Room>,
+) {
+    if !comes_up(&near, &there, &back, &room).await {
+        return;
+    }
+    let Ok(far) = Async::<TcpStream>::connect(target.get()).await else {
+        // The refusal has its way to go, as an answer would.
+        back.pass(&room).await;
+        there.count(|t| t.refused += 1);
+        return;
+    };
+    prepare(far.get_ref());
+    let ends = Ends::default();
+    let near = End { socket: &near, dead: &ends.near_dead, done: &ends.near_done };
+    let far = End { socket: &far, dead: &ends.far_dead, done: &ends.far_done };
+    let there = async {
+        // The opener may send once the answer to its handshake is back.
+        back.pass(&room).await;
+        Stream::new(near, far, &ends.changed, &there, &room).run().await
+    };
+    let back = Stream::new(far, near, &ends.changed, &back, &room).run();
+    if future::try_zip(there, back).await.is_ok() {
+        let _ = SockRef::from(near.socket.get_ref()).set_linger(None);
+        let _ = SockRef::from(far.socket.get_ref()).set_linger(None);
+    }
+}
+
+/// A handshake needs both directions. Whether it is done; not if the opener has left while it was held.
+async fn comes_up(near: &Async<TcpStream>, there: &Way, back: &Way, room: &Room) -> bool {
+    let mut held = false;
+    loop {
+        if there.holds_all() || back.holds_all() {
+            held = true;
+            let look = room.until(Some(room.now() + LOOK_US));
+            future::or(future::or(there.changes(), back.changes()), look).await;
+            if has_left(near.get_ref()) {
+                return false;
+            }
+            continue;
+        }
+        let passed = async {
+            there.pass(room).await;
+            true
+        };
+        let cut = async {
+            back.changes().await;
+            false
+        };
+        if future::or(passed, cut).await && !there.holds_all() && !back.holds_all() {
+            return !held || !has_left(near.get_ref());
+        }
+    }
+}
+
+/// What the two directions tell each other.
+#[derive(Default)]
+struct Ends {
+    near_dead: Cell<bool>,
+    far_dead: Cell<bool>,
+    near_done: Cell<bool>,
+    far_done: Cell<bool>,
+    changed: Event,
+}
+
+/// A socket with what is known of it.
+#[derive(Clone, Copy)]
+struct End<'a> {
+    socket: &'a Async<TcpStream>,
+    /// Writing to it failed: its peer has reset it.
+    dead: &'a Cell<bool>,
+    /// All that its peer sent has been passed on, the end too.
+    done: &'a Cell<bool>,
+}
+
+/// The connection is to be reset.
+struct Reset;
+
+enum What {
+    Bytes { bytes: Vec<u8>, written: usize, garbled: Option<usize> },
+    End,
+    Reset,
+}
+
+struct Item {
+    /// `None` while it is held.
+    due_us: Option<Micros>,
+    /// Whether it could not go at once, so that its lateness counts.
+    delayed: bool,
+    what: What,
+}
+
+impl Item {
+    fn len(&self) -> usize {
+        match &self.what {
+            What::Bytes { bytes, written, .. } => bytes.len() - written,
+            What::End | What::Reset => 0,
+        }
+    }
+}
+
+/// One direction of a connection.
+struct Stream<'a> {
+    from: End<'a>,
+    to: End<'a>,
+    changed: &'a Event,
+    way: &'a Way,
+    room: &'a Room,
+    version: u64,
+    queue: VecDeque<Item>,
+    /// Bytes in the queue.
+    waiting: usize,
+    /// When the last of the queue is due.
+    last_us: Micros,
+    /// Whether more may come.
+    open: bool,
+}
+
+/// What a turn came to.
+enum Turn {
+    /// Something moved; there may be more.
+    Moved,
+    /// The receiver takes no more.
+    Full,
+    /// Until the first of the queue is due, or for something else to happen.
+    Idle,
+    Ended,
+}
+
+impl Drop for Stream<'_> {
+    fn drop(&mut self) {
+        let waiting = self.waiting as u64;
+        self.way.count(|t| t.waiting -= waiting);
+    }
+}
+
+impl<'a> Stream<'a> {
+    fn new(from: End<'a>, to: End<'a>, changed: &'a Event, way: &'a Way, room: &'a Room) -> Self {
+        Stream {
+            from,
+            to,
+            changed,
+            way,
+            room,
+            version: way.version(),
+            queue: VecDeque::new(),
+            waiting: 0,
+            last_us: Micros::MIN,
+            open: true,
+        }
+    }
+
+    async fn run(mut self) -> Result<(), Reset> {
+        loop {
+            let moved = self.read();
+            match self.write()? {
+                Turn::Ended => break,
+                // Others have their turn.
+                Turn::Moved => future::yield_now().await,
+                _ if moved => future::yield_now().await,
+                Turn::Full => self.wait(true).await,
+                Turn::Idle => self.wait(false).await,
+            }
+        }
+        self.from.done.set(true);
+        self.changed.notify(usize::MAX);
+        // Its sender may still reset the whole.
+        while !self.to.done.get() {
+            if self.from.dead.get() {
+                self.way.pass(self.room).await;
+                return Err(Reset);
+            }
+            self.changed.listen().await;
+        }
+        Ok(())
+    }
+
+    /// Reads once, if there is room. Whether anything came.
+    fn read(&mut self) -> bool {
+        self.look_at_condition();
+        if !self.open || self.to.dead.get() || self.waiting >= BUFFERED {
+            return false;
+        }
+        let room = self.room;
+        let mut scratch = room.scratch.borrow_mut();
+        let most = self.way.most_at_once(READ).min(BUFFERED - self.waiting);
+        let what = match self.from.socket.get_ref().read(&mut scratch[..most]) {
+            Ok(0) if self.from.dead.get() => What::Reset,
+            Ok(0) => What::End,
+            Ok(n) => {
+                self.way.count(|t| t.waiting += n as u64);
+                self.waiting += n;
+                What::Bytes { bytes: scratch[..n].to_vec(), written: 0, garbled: None }
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return true,
+            Err(_) => What::Reset,
+        };
+        self.open = matches!(what, What::Bytes { .. });
+        let mut item = Item { due_us: None, delayed: false, what };
+        self.last_us = plan(&mut item, self.way, room.now(), self.last_us);
+        self.queue.push_back(item);
+        true
+    }
+
+    /// Under another condition, all that has not arrived sets out anew.
+    fn look_at_condition(&mut self) {
+        if self.version == self.way.version() {
+            return;
+        }
+        self.version = self.way.version();
+        self.last_us = Micros::MIN;
+        let now = self.room.now();
+        for item in &mut self.queue {
+            self.last_us = plan(item, self.way, now, self.last_us);
+        }
+    }
+
+    /// Writes what is due, as far as the receiver takes it.
+    fn write(&mut self) -> Result<Turn, Reset> {
+        self.look_at_condition();
+        let now = self.room.now();
+        let Some(item) = self.queue.front_mut() else { return Ok(Turn::Idle) };
+        let Some(due) = item.due_us.filter(|due| *due <= now) else { return Ok(Turn::Idle) };
+        let delayed = std::mem::take(&mut item.delayed);
+        let (whole, turn) = match &mut item.what {
+            What::Reset => return Err(Reset),
+            What::End => {
+                let _ = self.to.socket.get_ref().shutdown(Shutdown::Write);
+                (true, Turn::Ended)
+            }
+            What::Bytes { bytes, written, garbled } => {
+                if let Some(at) = garbled.take() {
+                    garble(bytes, at);
+                    self.way.count(|t| t.garbled += 1);
+                }
+                match self.to.socket.get_ref().write(&bytes[*written..]) {
+                    Ok(n) => {
+                        *written += n;
+                        self.waiting -= n;
+                        self.way.count(|t| (t.bytes, t.waiting) = (t.bytes + n as u64, t.waiting - n as u64));
+                        (*written == bytes.len(), Turn::Moved)
+                    }
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => (false, Turn::Full),
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => (false, Turn::Moved),
+                    Err(_) => {
+                        // The reset goes the other way, under the conditions there. Nothing more can go this way.
+                        self.to.dead.set(true);
+                        self.changed.notify(usize::MAX);
+                        self.give_up();
+                        return Ok(Turn::Idle);
+                    }
+                }
+            }
+        };
+        if delayed {
+            self.room.done(due);
+        }
+        if whole {
+            self.queue.pop_front();
+        }
+        Ok(turn)
+    }
+
+    fn give_up(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting) as u64;
+        self.way.count(|t| t.waiting -= waiting);
+        self.queue.clear();
+        self.open = false;
+    }
+
+    /// Until there may be something to do.
+    async fn wait(&self, full: bool) {
+        let reads = self.open && !self.to.dead.get() && self.waiting < BUFFERED;
+        let readable = async {
+            match reads {
+                // An error shows when it is read.
+                true => drop(self.from.socket.readable().await),
+                false => future::pending().await,
+            }
+        };
+        let writable = async {
+            match full {
+                true => drop(self.to.socket.writable().await),
+                false => future::pending().await,
+            }
+        };
+        let due = self.queue.front().and_then(|i| i.due_us).filter(|_| !full);
+        let due = self.room.until(due);
+        let other = async { self.changed.listen().await };
+        let io = future::or(readable, writable);
+        future::or(future::or(io, due), future::or(self.way.changes(), other)).await;
+    }
+}
+
+/// Asks the line when something that sets out now arrives. When it does; what comes behind does not overtake it.
+fn plan(item: &mut Item, way: &Way, now_us: Micros, behind_us: Micros) -> Micros {
+    match way.chunk(now_us, item.len(), behind_us) {
+        ChunkFate::Held => {
+            item.due_us = None;
+            behind_us
+        }
+        ChunkFate::Due(delivery) => {
+            item.due_us = Some(delivery.at_us);
+            item.delayed = delivery.at_us > now_us;
+            if let What::Bytes { written, garbled, .. } = &mut item.what {
+                *garbled = delivery.garbled.map(|at| at + *written);
+            }
+            delivery.at_us
+        }
+    }
+}
