Show each fault of a process on scripted peers, and that nothing is left behind

Found by them: a stop of the whole group at once could catch a shell's child between vfork and exec, for which the shell waits where it is not seen to stop; the process itself is held first now. A child no longer inherits NODE_* of the lab's environment.

--- a/crates/lab/src/fleet/log.rs
+++ b/crates/lab/src/fleet/log.rs
@@ -279,7 +279,7 @@
     ///
     /// None came, or it was let go before anyone looked, which the error tells.
     pub fn wait_for(&self, since: Mark, wanted: &Wanted, most: Duration) -> Result<Arc<Line>, NotSeen> {
-        let until = Instant::now() + most;
+        let until = Instant::now().checked_add(most);
         let (mut held, mut from, mut missed) = (self.held(), since, 0);
         loop {
             missed += held.first().saturating_sub(from.0);
@@ -287,7 +287,7 @@
                 return Ok(line.clone());
             }
             from = Mark(held.next);
-            let left = until.saturating_duration_since(Instant::now());
+            let left = until.map_or(most, |until| until.saturating_duration_since(Instant::now()));
             if left.is_zero() {
                 break;
             }
--- a/crates/lab/src/fleet/processes/mod.rs
+++ b/crates/lab/src/fleet/processes/mod.rs
@@ -17,7 +17,7 @@
 pub use damage::Damage;
 pub use keeper::Roster;
 
-use super::log::{Log, Mark, NotSeen, Wanted};
+use super::log::{Line, Log, Mark, NotSeen, Wanted};
 use crate::host::HostError;
 use crate::loopback::children::{Limits, Program, Usage};
 use home::Home;
@@ -395,6 +395,34 @@
         self.roster.clone()
     }
 
+    /// The first wanted line behind a mark that the process which runs under this name has said, or says within `most`;
+    /// it is not waited for once that process can say no more.
+    ///
+    /// # Errors
+    ///
+    /// There is none of this name; nothing of the kind was said.
+    pub fn hear(
+        &self,
+        name: &str,
+        since: Mark,
+        wanted: &Wanted,
+        most: Duration,
+    ) -> Result<Arc<Line>, ProcessError> {
+        let life = self.life(name)?;
+        let wanted = wanted.clone().of(name).in_life(life);
+        let both = wanted.clone();
+        let either = move |line: &Line| both.is(line) || line.event == told::HEARD_OUT;
+        let either = Wanted::any().of(name).in_life(life).when(either);
+        // A process that was heard out before the mark is not heard behind it.
+        let over = Wanted::event(told::HEARD_OUT).of(name).in_life(life);
+        let most = if self.log.lines(Mark::default(), &over).is_empty() { most } else { Duration::ZERO };
+        let line = self.log.wait_for(since, &either, most)?;
+        match wanted.is(&line) {
+            true => Ok(line),
+            false => Ok(self.log.wait_for(since, &wanted, Duration::ZERO)?),
+        }
+    }
+
     /// Waits until a process has ended and all that it said has been heard; how it ended.
     ///
     /// # Errors
--- a/crates/lab/src/loopback/children/child.rs
+++ b/crates/lab/src/loopback/children/child.rs
@@ -21,6 +21,8 @@
 const LINE: usize = 4096;
 /// Bytes of a line that are read as one.
 pub const LONGEST: u64 = 64 << 10;
+/// Variables that configure a proxy.
+const CONFIGURES: [&str; 4] = ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"];
 /// Lines of the log that a message about a child's end quotes.
 const QUOTED: usize = 5;
 /// How long the last words of one that has ended are waited for.
@@ -153,6 +155,10 @@
         hear: impl FnMut(&str) + Send + 'static,
     ) -> Result<Child, HostError> {
         let mut command = program.command(limits, arguments);
+        // What whoever runs the lab has in its environment is no configuration of its children.
+        for name in CONFIGURES {
+            command.env_remove(name);
+        }
         command.current_dir(dir).env("TMPDIR", dir).envs(variables.iter().map(|(k, v)| (k, v)));
         Child::spawn(name, command, hear)
             .map_err(|source| HostError::Io { what: format!("cannot start {name}"), source })
@@ -236,9 +242,12 @@
             return;
         }
         if let Some(pid) = self.number() {
-            let _ = kill_process_group(pid, Signal::STOP);
+            // Itself first: held together with a child of its that has not become a program yet, it would wait for that
+            // one in vfork(2), where it is not seen to stand still.
+            let _ = kill_process(pid, Signal::STOP);
             let still = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
             while let Err(Errno::INTR) = waitid(WaitId::Pid(pid), still) {}
+            let _ = kill_process_group(pid, Signal::STOP);
         }
     }
 
--- /dev/null
+++ b/crates/lab/tests/fleet_processes.rs
@@ -0,0 +1,568 @@
+//! What befalls a process of a fleet is what was asked for, and befalls nobody else; what is left behind is nothing.
+//!
+//! Children are small scripts, or this very program ([`peer`], [`lab_with_children`]). Every wait is for a line of the log.
+
+use lab::fleet::log::{By, Line, Log, Mark, Wanted};
+use lab::fleet::machine::{Bound, Machine, Seen};
+use lab::fleet::processes::{told, Damage, Folder, ProcessError, Processes, Restart, Spec, State, Twin};
+use lab::loopback::children::{Limits, Program};
+use lab::loopback::Clock;
+use rstest::rstest;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::unix::process::ExitStatusExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// No step waits longer; far more than any needs.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// A process of shell. `life`, told with `up`, counts the processes that had its folder.
+const UP: &str = r#"
+    say() { echo "{\"event\":\"$1\",\"message\":\"\",\"life\":$(wc -l <lives),\"name\":\"$NODE_NAME\",\"build\":\"$BUILD\"}" >&2; }
+    trap 'say told; exit 0' TERM
+    echo >>lives
+    say up
+"#;
+/// Says `beat` again and again.
+const BEATS: &str = "while :; do say beat; sleep 0.02; done";
+
+fn lab() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_lab"))
+}
+
+fn shell() -> Program {
+    Program::guarded(lab(), Path::new("/bin/sh")).expect("a shell")
+}
+
+fn script(name: &str, then: &str) -> Spec {
+    Spec::new(name, &shell()).arg("-c").arg(format!("{UP}{then}")).variable("NODE_NAME", name)
+}
+
+fn fleet() -> Processes {
+    Processes::in_temporary(&Log::new(Clock::start(0))).expect("a fleet")
+}
+
+fn await_line(log: &Log, since: Mark, wanted: Wanted) -> Arc<Line> {
+    log.wait_for(since, &wanted, PATIENCE).unwrap_or_else(|why| panic!("{why}"))
+}
+
+/// Waits until a process of this life is up; which of those that had its folder it is.
+fn up(fleet: &Processes, name: &str, life: u32) -> u64 {
+    let line = await_line(fleet.log(), Mark::default(), Wanted::event("up").of(name).in_life(life));
+    line.number("life").expect("a number")
+}
+
+/// Events of a process, by whoever, in the order of the log.
+fn events(log: &Log, name: &str) -> Vec<String> {
+    let lines = log.lines(Mark::default(), &Wanted::any().of(name));
+    lines.iter().map(|l| l.event.clone()).filter(|e| !e.is_empty() && e != "beat").collect()
+}
+
+/// The letter of a process's state, as proc_pid_stat(5) has it; `None` once it is gone.
+fn letter(pid: u32) -> Option<char> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    stat.rsplit_once(") ")?.1.chars().next().filter(|state| *state != 'Z')
+}
+
+#[test]
+fn a_process_that_is_told_to_end_hears_it_and_one_that_is_killed_does_not() {
+    let fleet = fleet();
+    for name in ["f0", "f1", "f2"] {
+        fleet.start(script(name, BEATS)).expect("it starts");
+        up(&fleet, name, 1);
+    }
+    fleet.terminate("f0").expect("it runs");
+    fleet.kill("f1").expect("it runs");
+    assert_eq!(fleet.wait("f0", PATIENCE).expect("an end").code(), Some(0));
+    assert_eq!(fleet.wait("f1", PATIENCE).expect("an end").signal(), Some(9));
+    let of = |name| events(fleet.log(), name);
+    assert_eq!(of("f0").iter().filter(|e| *e == "told").count(), 1);
+    assert!(!of("f1").contains(&"told".to_owned()));
+    assert_eq!(of("f2"), [told::STARTED, "up"], "nothing befell it");
+    assert_eq!(fleet.state("f2").expect("it is there"), State::Runs);
+    for (name, event) in [("f0", told::TOLD_TO_END), ("f1", told::KILLED)] {
+        let at = |event| of(name).iter().position(|e| e == event);
+        assert!(at(told::STARTED) < at("up") && at("up") < at(event) && at(event) < at(told::ENDED));
+    }
+    assert!(matches!(fleet.kill("f1"), Err(ProcessError::Down(_))));
+    assert!(matches!(fleet.kill("f9"), Err(ProcessError::Unknown(_))));
+    assert!(matches!(fleet.start(script("f2", BEATS)), Err(ProcessError::Runs(_))));
+    for bad in ["", "../f0", "f~2", "settings", "a name"] {
+        assert!(matches!(fleet.start(script(bad, BEATS)), Err(ProcessError::Name(_))), "{bad:?}");
+    }
+}
+
+/// Not a test of its own: a process that takes what is sent to it, and tells how much it was.
+#[test]
+#[ignore = "started by other tests"]
+fn peer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let _ = writeln!(io::stderr(), r#"{{"event":"listening","address":"{address}"}}"#);
+    for mut socket in listener.incoming().flatten() {
+        let mut bytes = Vec::new();
+        let taken = socket.read_to_end(&mut bytes).unwrap_or_default();
+        let _ = writeln!(io::stderr(), r#"{{"event":"taken","bytes":{taken}}}"#);
+    }
+}
+
+/// This very program as a process: one of its tests that is none.
+fn this(name: &str, test: &str) -> Spec {
+    let program = Program::guarded(lab(), &std::env::current_exe().expect("this program"));
+    let words = [test, "--exact", "--ignored", "--nocapture"];
+    words.iter().fold(Spec::new(name, &program.expect("this program")), |spec, word| spec.arg(word))
+}
+
+#[test]
+fn a_process_that_is_held_takes_nothing_while_its_kernel_takes_bytes_for_it() {
+    let fleet = fleet();
+    fleet.start_many(vec![this("f0", "peer"), this("f1", "peer")]).expect("they start");
+    let listening = |name| fleet.log().event(name, "listening", PATIENCE).expect("it listens").address();
+    let send = |name| {
+        let mut socket = TcpStream::connect(listening(name).expect("an address")).expect("it connects");
+        socket.write_all(&[0; 1000]).expect("the kernel takes it");
+    };
+    let (held, other) = (fleet.running()["f0"], fleet.running()["f1"]);
+    listening("f0");
+    fleet.stop("f0").expect("it runs");
+    assert_eq!(letter(held), Some('T'));
+    assert_ne!(letter(other), Some('T'));
+    assert_eq!(fleet.state("f0").expect("it is there"), State::Stopped);
+    send("f0");
+    send("f1");
+    // The one beside it has taken its bytes: the first would have, too.
+    fleet.log().event("f1", "taken", PATIENCE).expect("bytes");
+    assert_eq!(fleet.log().lines(Mark::default(), &Wanted::event("taken").of("f0")).len(), 0);
+    fleet.resume("f0").expect("it runs");
+    let taken = fleet.log().event("f0", "taken", PATIENCE).expect("bytes");
+    assert_eq!(taken.number("bytes"), Some(1000));
+}
+
+/// How long a process was held, by the log; `None` if the log does not have exactly one stop and one resumption.
+fn held_for(log: &Log, name: &str) -> Option<Duration> {
+    let lines = |event| log.lines(Mark::default(), &Wanted::event(event).of(name));
+    let (stopped, resumed) = (lines(told::STOPPED), lines(told::RESUMED));
+    match (&*stopped, &*resumed) {
+        ([stopped], [resumed]) => Some(Duration::from_micros((resumed.at_us - stopped.at_us) as u64)),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_pause_lasts_as_long_as_it_was_to_and_of_two_the_longer() {
+    let fleet = fleet();
+    for name in ["f0", "f1", "f2", "f3"] {
+        fleet.start(script(name, BEATS)).expect("it starts");
+        up(&fleet, name, 1);
+    }
+    let pause = |name, ms| fleet.pause(name, Duration::from_millis(ms)).expect("it runs");
+    pause("f0", 150);
+    pause("f1", 300);
+    pause("f1", 50);
+    pause("f2", 50);
+    fleet.stop("f2").expect("it runs");
+    for (name, least) in [("f0", 150), ("f1", 300)] {
+        let resumed = await_line(fleet.log(), Mark::default(), Wanted::event(told::RESUMED).of(name));
+        await_line(
+            fleet.log(),
+            Mark::default(),
+            Wanted::event("beat").of(name).when(move |l| l.number > resumed.number),
+        );
+        let held = held_for(fleet.log(), name).expect("one pause");
+        assert!(held >= Duration::from_millis(least), "{name}: {held:?}");
+    }
+    // It is held until it is resumed, whatever pause was before: that is over, as a later one is.
+    let pid = fleet.running()["f2"];
+    pause("f3", 100);
+    await_line(fleet.log(), Mark::default(), Wanted::event(told::RESUMED).of("f3"));
+    assert_eq!((letter(pid), held_for(fleet.log(), "f2")), (Some('T'), None));
+    // It ends all the same, and hears before that it was told to, once it goes on.
+    assert_eq!(fleet.end(PATIENCE).expect("they end"), Vec::<String>::new());
+    assert!(events(fleet.log(), "f2").contains(&"told".to_owned()));
+}
+
+#[rstest]
+#[case::kept(Folder::Kept, 2)]
+#[case::lost(Folder::Lost, 1)]
+#[case::empty(Folder::Empty, 1)]
+fn a_process_comes_back_with_the_folder_that_it_was_to_have(#[case] folder: Folder, #[case] lives: u64) {
+    let fleet = fleet();
+    fleet.start_many(vec![script("f0", BEATS), script("f1", BEATS)]).expect("they start");
+    assert_eq!((up(&fleet, "f0", 1), up(&fleet, "f1", 1)), (1, 1));
+    let settings = fleet.settings("f0").expect("a folder").join("config.json");
+    std::fs::write(&settings, "{}").expect("a file");
+    let how = Restart { folder, down: Duration::from_millis(30), ..Restart::default() };
+    fleet.restart("f0", how).expect("it is on its way");
+    assert_eq!(up(&fleet, "f0", 2), lives);
+    assert!(settings.exists(), "what the platform gives is not on the disk");
+    let events = events(fleet.log(), "f0");
+    let at = |event| events.iter().rposition(|e| e == event);
+    assert!(at(told::KILLED) < at(told::ENDED) && at(told::ENDED) < at(told::STARTED), "{events:?}");
+    let gone = at(told::FOLDER_GONE);
+    assert_eq!(gone.is_some(), folder == Folder::Lost);
+    assert!(gone.is_none() || at(told::ENDED) < gone && gone < at(told::STARTED), "{events:?}");
+    assert_eq!((fleet.life("f0").expect("it is there"), fleet.life("f1").expect("it is there")), (2, 1));
+}
+
+#[test]
+fn one_that_cannot_be_started_again_is_told() {
+    let fleet = fleet();
+    let dir = tempfile::tempdir().expect("a folder");
+    let program = dir.path().join("program");
+    std::fs::copy("/bin/sh", &program).expect("a program");
+    let program = Program::unguarded(&program).expect("a program");
+    let spec = Spec { program, ..script("f0", BEATS) };
+    fleet.start(spec).expect("it starts");
+    up(&fleet, "f0", 1);
+    drop(dir);
+    fleet.restart("f0", Restart::default()).expect("it is on its way");
+    let failed = await_line(fleet.log(), Mark::default(), Wanted::event(told::FAILED).of("f0"));
+    let waits = fleet.hear("f0", Mark::default(), &Wanted::event("never"), Duration::MAX);
+    assert!(waits.is_err(), "nobody is left to say it, so that it is not waited for");
+    assert_eq!((failed.by, failed.life), (By::Lab, 2));
+    assert!(matches!(fleet.state("f0"), Err(ProcessError::Down(_))));
+}
+
+#[rstest]
+#[case::one_disk(Twin::SameFolder, 2)]
+#[case::two_machines(Twin::OwnFolder, 1)]
+fn two_of_one_name_run_at_once(#[case] folder: Twin, #[case] lives: u64) {
+    let fleet = fleet();
+    fleet.start(script("f0", BEATS)).expect("it starts");
+    up(&fleet, "f0", 1);
+    let twin = fleet.twin("f0", None, folder).expect("it starts");
+    assert_eq!((&*twin, up(&fleet, &twin, 1)), ("f0~2", lives));
+    let name = fleet.log().event(&twin, "up", PATIENCE).expect("it is up");
+    assert_eq!(name.text("name"), Some("f0"), "its own name is that of the first");
+    assert_eq!(fleet.running().len(), 2);
+    // With the first gone, its folder is still in use where they share it.
+    fleet.kill("f0").expect("it runs");
+    let cut = Damage::CutShort { file: "lives".into(), to: 0 };
+    let lost = Restart { folder: Folder::Empty, ..Restart::default() };
+    let refused =
+        |done: Result<(), ProcessError>| matches!(done, Err(ProcessError::Runs(name)) if name == twin);
+    assert_eq!(refused(fleet.damage("f0", cut)), folder == Twin::SameFolder);
+    assert_eq!(refused(fleet.restart("f0", lost)), folder == Twin::SameFolder);
+}
+
+#[test]
+fn half_of_a_fleet_starts_at_once_and_a_fleet_rolls_to_another_build_in_order() {
+    let fleet = fleet();
+    let names: Vec<String> = (0..20).map(|n| format!("f{n}")).collect();
+    let specs = names.iter().map(|name| script(name, BEATS).variable("BUILD", "old")).collect();
+    let took = fleet.start_many(specs).expect("they start");
+    assert!(names.iter().all(|name| up(&fleet, name, 1) == 1));
+    let started = fleet.log().lines(Mark::default(), &Wanted::event(told::STARTED));
+    let span = Duration::from_micros((started[19].at_us - started[0].at_us) as u64);
+    assert!(started.len() == 20 && span <= took, "{span:?} of {took:?}");
+
+    // The newer build is another program, which is given the same words.
+    let dir = tempfile::tempdir().expect("a folder");
+    let newer = dir.path().join("newer");
+    std::fs::write(&newer, "#!/bin/sh\nBUILD=new\nexport BUILD\nexec /bin/sh \"$@\"\n").expect("a file");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
+    std::fs::set_permissions(&newer, mode).expect("it can be run");
+    let newer = Some(Program::guarded(lab(), &newer).expect("a program"));
+    let (rolled, rest) = (["f0", "f1", "f2"], &names[3..]);
+    let how = Restart { told: true, program: newer, ..Restart::default() };
+    let every = Duration::from_millis(20);
+    fleet.roll(&rolled, every, &how).expect("it is on its way");
+    for name in rolled {
+        assert_eq!(up(&fleet, name, 2), 2);
+        let lines = fleet.log().lines(Mark::default(), &Wanted::event("up").of(name));
+        assert_eq!(lines.iter().map(|l| l.text("build")).collect::<Vec<_>>(), [Some("old"), Some("new")]);
+        assert!(events(fleet.log(), name).contains(&"told".to_owned()));
+    }
+    let told: Vec<_> = fleet.log().lines(Mark::default(), &Wanted::event(told::TOLD_TO_END));
+    assert_eq!(told.iter().map(|l| &*l.process).collect::<Vec<_>>(), rolled);
+    assert!(told.windows(2).all(|w| w[1].at_us - w[0].at_us >= every.as_micros() as i64 / 2));
+    assert!(rest.iter().all(|name| fleet.life(name).expect("it is there") == 1), "nobody else");
+}
+
+#[test]
+fn a_full_disk_fails_writes_and_ends_nobody_and_has_room_again() {
+    let fleet = fleet();
+    let writes =
+        "while :; do if (echo line >>file) 2>/dev/null; then say wrote; else say full; fi; sleep 0.01; done";
+    fleet.start_many(vec![script("f0", writes), script("f1", writes)]).expect("they start");
+    let wrote = |name, since| await_line(fleet.log(), since, Wanted::event("wrote").of(name));
+    wrote("f0", Mark::default());
+    wrote("f1", Mark::default());
+    assert_eq!(fleet.log().lines(Mark::default(), &Wanted::event("full")).len(), 0);
+    fleet.limit_files("f0", Some(7)).expect("limited");
+    await_line(fleet.log(), Mark::default(), Wanted::event("full").of("f0"));
+    let full = fleet.log().mark();
+    await_line(fleet.log(), full, Wanted::event("full").of("f0"));
+    wrote("f1", full);
+    assert_eq!(fleet.log().lines(full, &Wanted::event("wrote").of("f0")).len(), 0);
+    fleet.limit_files("f0", None).expect("not limited");
+    wrote("f0", fleet.log().mark());
+    assert_eq!(fleet.log().lines(Mark::default(), &Wanted::event("full").of("f1")).len(), 0);
+    assert_eq!(fleet.life("f0").expect("it is there"), 1);
+
+    // What was started without a limit would be ended by one.
+    let plain = Limits { file_bytes: None, ..script("f2", writes).limits };
+    fleet.start(Spec { limits: plain, ..script("f2", writes) }).expect("it starts");
+    wrote("f2", Mark::default());
+    assert!(matches!(fleet.limit_files("f2", Some(7)), Err(ProcessError::Unlimited(_))));
+    // From its start on.
+    let few = Limits { file_bytes: Some(0), ..plain };
+    let writes = "(echo line >file) 2>/dev/null || say full; sleep 600";
+    let script = format!(r#"echo >>lives; {writes}"#).replace("say full", r#"echo '{"event":"full"}' >&2"#);
+    let spec = Spec { limits: few, ..Spec::new("f3", &shell()).arg("-c").arg(script) };
+    fleet.start(spec).expect("it starts");
+    fleet.log().event("f3", "full", PATIENCE).expect("no room");
+}
+
+#[test]
+fn the_proxy_itself_hears_no_limit_of_files_whichever_way_it_is_started() {
+    let fleet = fleet();
+    let nowhere = fleet.settings("p0").expect("a folder").join("planner.conf");
+    std::fs::write(&nowhere, "plannerport 0\nplanforwarders 1\n").expect("a file");
+    let own = Program::of_lab(lab()).expect("the lab's program");
+    let spec = Spec::new("p0", &own).arg("planner").arg("--conf").arg(nowhere);
+    fleet.start(spec.arg("--log-format").arg("json")).expect("it starts");
+    let planning = fleet.log().event("p0", "planning", PATIENCE).expect("a planner");
+    assert!(planning.address().is_some() && planning.by == By::Process, "{planning}");
+    fleet.start(script("f0", BEATS)).expect("it starts");
+    up(&fleet, "f0", 1);
+    // proc_pid_status(5): masks of signals, in which SIGXFSZ is the 25th.
+    let mask = |name: &str, which: &str| {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", fleet.running()[name]));
+        let status = status.expect("it runs");
+        let mask = status.lines().find_map(|l| l.strip_prefix(which)).expect("a mask");
+        u64::from_str_radix(mask.trim(), 16).expect("a number") >> 24 & 1 == 1
+    };
+    assert!(mask("p0", "SigCgt:") && mask("f0", "SigIgn:"));
+    assert_eq!(fleet.end(PATIENCE).expect("they end"), Vec::<String>::new());
+    assert_eq!(fleet.wait("p0", PATIENCE).expect("an end").code(), Some(0));
+}
+
+#[test]
+fn a_file_is_damaged_only_while_its_process_is_down() {
+    let fleet = fleet();
+    let reads = "say sum-$(cksum <lives | cut -d' ' -f2); sleep 600";
+    let with = |then: &str| script("f0", &format!("[ -e data ] || echo 0123456789 >data; {then}"));
+    let reads = with(&reads.replace("lives", "data"));
+    fleet.start(reads).expect("it starts");
+    fleet.log().event("f0", "sum-11", PATIENCE).expect("all its bytes");
+    let cut = Damage::CutShort { file: "data".into(), to: 4 };
+    assert!(matches!(fleet.damage("f0", cut.clone()), Err(ProcessError::Runs(_))));
+    fleet.stop("f0").expect("it runs");
+    assert!(matches!(fleet.damage("f0", cut.clone()), Err(ProcessError::Runs(_))), "it is not down");
+    fleet.kill("f0").expect("it runs");
+    fleet.damage("f0", cut).expect("it is down");
+    fleet.damage("f0", Damage::ByteChanged { file: "data".into(), at: 0 }).expect("it is down");
+    assert_eq!(std::fs::read(fleet.folder("f0").join("data")).expect("a file"), b"\xcf123");
+    fleet.restart("f0", Restart::default()).expect("it is on its way");
+    fleet.log().event("f0", "sum-4", PATIENCE).expect("what was left");
+    assert_eq!(events(fleet.log(), "f0").iter().filter(|e| *e == told::DAMAGED).count(), 2);
+}
+
+/// A lab in a process of its own: this very program, which starts three children, one of them stopped.
+struct KilledLab {
+    process: std::process::Child,
+    root: PathBuf,
+    children: Vec<u32>,
+}
+
+impl KilledLab {
+    fn start(temporary: &Path) -> KilledLab {
+        let mut process = Command::new(std::env::current_exe().expect("this program"))
+            .args(["--exact", "lab_with_children", "--ignored", "--nocapture"])
+            .env("TMPDIR", temporary)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let said = BufReader::new(process.stdout.take().expect("what it says"));
+        let words = said.lines().map_while(Result::ok).find_map(|l| Some(l.split_once("LAB ")?.1.to_owned()));
+        let words = words.expect("its children");
+        let mut words = words.split(' ');
+        let root = PathBuf::from(words.next().expect("a folder"));
+        let children = words.map(|w| w.parse().expect("a number")).collect();
+        KilledLab { process, root, children }
+    }
+}
+
+/// Not a test of its own: the lab that another one kills.
+#[test]
+#[ignore = "started by other tests"]
+fn lab_with_children() {
+    let fleet = fleet();
+    for name in ["f0", "f1", "f2"] {
+        fleet.start(script(name, BEATS)).expect("it starts");
+        up(&fleet, name, 1);
+    }
+    fleet.stop("f1").expect("it runs");
+    fleet.pause("f2", Duration::from_secs(600)).expect("it runs");
+    let pids: Vec<String> = fleet.running().values().map(u32::to_string).collect();
+    println!("LAB {} {}", fleet.root().display(), pids.join(" "));
+    let _ = io::stdin().read(&mut [0]);
+    std::thread::sleep(Duration::from_secs(600));
+}
+
+#[test]
+fn a_lab_that_is_killed_leaves_no_process_and_the_next_one_removes_its_folder() {
+    let temporary = tempfile::tempdir().expect("a folder");
+    let mut lab = KilledLab::start(temporary.path());
+    let states: Vec<_> = lab.children.iter().map(|pid| letter(*pid)).collect();
+    assert!(states.len() == 3 && states[0].is_some() && states[1..] == [Some('T'); 2], "{states:?}");
+    // The next one leaves a folder alone while its lab lives.
+    let next = Command::new(std::env::current_exe().expect("this program"));
+    let begins_and_ends = |mut next: Command| {
+        let next = next.args(["--exact", "a_lab_that_ends", "--ignored"]).env("TMPDIR", temporary.path());
+        assert!(next.stdout(Stdio::null()).status().expect("it runs").success());
+    };
+    begins_and_ends(next);
+    assert!(lab.root.exists());
+
+    lab.process.kill().expect("killed");
+    lab.process.wait().expect("it ends");
+    // Their kernel ends them; nobody tells us when they are gone.
+    let until = std::time::Instant::now() + PATIENCE;
+    while lab.children.iter().any(|pid| letter(*pid).is_some()) && std::time::Instant::now() < until {
+        std::thread::yield_now();
+    }
+    assert!(!lab.children.iter().any(|pid| letter(*pid).is_some()), "a child has outlived the lab");
+    assert!(lab.root.exists(), "nobody was left to remove it");
+    begins_and_ends(Command::new(std::env::current_exe().expect("this program")));
+    assert!(!lab.root.exists());
+    assert_eq!(std::fs::read_dir(temporary.path()).expect("a folder").count(), 0);
+}
+
+/// Not a test of its own: a lab that comes to its end.
+#[test]
+#[ignore = "started by other tests"]
+fn a_lab_that_ends() {
+    let fleet = fleet();
+    fleet.start(script("f0", BEATS)).expect("it starts");
+    up(&fleet, "f0", 1);
+}
+
+#[test]
+fn a_test_that_panics_leaves_no_process_and_no_folder() {
+    let (told, what) = std::sync::mpsc::channel();
+    let panics = std::thread::spawn(move || {
+        let fleet = fleet();
+        for name in ["f0", "f1", "f2"] {
+            fleet.start(script(name, BEATS)).expect("it starts");
+            up(&fleet, name, 1);
+        }
+        fleet.stop("f1").expect("it runs");
+        fleet.pause("f2", Duration::from_secs(600)).expect("it runs");
+        told.send((fleet.root().to_owned(), fleet.running())).expect("somebody listens");
+        panic!("planted");
+    });
+    let (root, running) = what.recv_timeout(PATIENCE).expect("it began");
+    panics.join().expect_err("it panics");
+    assert!(running.len() == 3 && !running.values().any(|pid| letter(*pid).is_some()));
+    assert!(!root.exists());
+}
+
+#[test]
+fn the_log_tells_what_is_json_and_what_is_not_and_what_was_not_seen() {
+    let log = Log::new(Clock::start(0));
+    let name: Arc<str> = "f0".into();
+    let mark = log.mark();
+    log.hear(
+        &name,
+        1,
+        r#"{"at_ms":5,"level":"INFO","event":"planning","message":"here","address":"127.0.0.1:7"}"#,
+    );
+    log.hear(&name, 1, "thread 'main' panicked");
+    log.hear(&name, 1, "[1, 2]");
+    let lines = log.lines(mark, &Wanted::any());
+    assert_eq!(
+        (&*lines[0].event, &*lines[0].message, lines[0].number("at_ms")),
+        ("planning", "here", Some(5))
+    );
+    assert_eq!(lines[0].address().map(|a| a.port()), Some(7));
+    assert_eq!((&*lines[1].event, &*lines[1].message), ("", "thread 'main' panicked"));
+    assert_eq!(lines[2].message, "[1, 2]");
+    assert!(lines.windows(2).all(|w| w[0].at_us <= w[1].at_us));
+    // Planted: each part of what is wanted is looked at.
+    let seen = |wanted: Wanted| log.wait_for(mark, &wanted, Duration::ZERO).is_ok();
+    let planning = || Wanted::event("planning").of("f0").in_life(1).saying("her");
+    assert!(seen(planning()) && seen(planning().when(|l| l.text("level") == Some("INFO"))));
+    assert!(!seen(planning().of("f1")) && !seen(planning().in_life(2)) && !seen(planning().saying("there")));
+    assert!(!seen(planning().when(|_| false)) && !seen(Wanted::event("plannin")));
+    assert!(log.wait_for(log.mark(), &planning(), Duration::ZERO).is_err(), "it came before the mark");
+    let why = log.event("f0", "silent", Duration::ZERO).expect_err("nobody said so").to_string();
+    assert!(why.contains(r#"a line of f0 with event "silent""#) && why.contains("panicked"), "{why}");
+
+    // Bounded: the oldest go, and are counted.
+    let other: Arc<str> = "f1".into();
+    (0..100_000).for_each(|_| log.hear(&other, 1, "noise"));
+    assert_eq!(log.lines(mark, &Wanted::any()).len(), 100_000);
+    assert_eq!((log.lost().get(&name), log.lost().get(&other)), (Some(&3), None));
+    let why = log.wait_for(mark, &planning(), Duration::ZERO).expect_err("it is gone").to_string();
+    assert!(why.contains("3 lines were let go unseen"), "{why}");
+
+    let dir = tempfile::tempdir().expect("a folder");
+    log.hear(&name, 2, r#"{"event":"last"}"#);
+    log.write(&dir.path().join("log")).expect("a file");
+    let text = std::fs::read_to_string(dir.path().join("log")).expect("a file");
+    let last: serde_json::Value = serde_json::from_str(text.lines().last().expect("a line")).expect("JSON");
+    assert_eq!((&last["process"], &last["life"], &last["event"]), (&"f0".into(), &2.into(), &"last".into()));
+}
+
+#[test]
+fn a_line_that_comes_later_wakes_who_waits() {
+    let log = Log::new(Clock::start(0));
+    let (other, (begin, begun)) = (log.clone(), std::sync::mpsc::channel::<()>());
+    let says = std::thread::spawn(move || {
+        let _ = begun.recv();
+        (0..100).for_each(|n| other.hear(&"f0".into(), 1, &format!(r#"{{"event":"n","n":{n}}}"#)));
+    });
+    begin.send(()).expect("it waits");
+    let line = await_line(&log, Mark::default(), Wanted::event("n").when(|l| l.number("n") == Some(99)));
+    assert_eq!(line.number, 99);
+    says.join().expect("it ends");
+}
+
+/// Not a test of its own: watches the machine until that stands still for a while.
+#[test]
+#[ignore = "started by other tests"]
+fn watches_the_machine() {
+    let machine = Machine::watch(None).expect("it watches");
+    let mut said = false;
+    loop {
+        let seen = machine.seen();
+        if seen.beats > 0 && !said {
+            said = true;
+            let _ = writeln!(io::stderr(), r#"{{"event":"watches"}}"#);
+        }
+        if seen.worst_us >= 500_000 {
+            let bound = Bound { worst_us: 400_000, ..Bound::default() };
+            let void = seen.void(&bound).is_some_and(|why| why.contains("the machine is the cause"));
+            let _ = writeln!(io::stderr(), r#"{{"event":"late","void":{void},"us":{}}}"#, seen.worst_us);
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_lab_that_stood_still_notices_it() {
+    let fleet = fleet();
+    fleet.start(this("lab", "watches_the_machine")).expect("it starts");
+    fleet.log().event("lab", "watches", PATIENCE).expect("it watches");
+    fleet.pause("lab", Duration::from_millis(600)).expect("it runs");
+    let late = fleet.log().event("lab", "late", PATIENCE).expect("it was held");
+    assert!(late.fields["void"] == true && late.number("us") >= Some(500_000), "{late}");
+}
+
+#[test]
+fn a_machine_voids_a_run_by_any_of_its_figures_and_by_nothing_else() {
+    let seen = Seen { beats: 1, p99_us: 20_000, worst_us: 1_000_000, cores: 8, ..Seen::default() };
+    let seen = Seen { starved: Some(("f3".into(), 250_000)), ..seen };
+    let void = |seen: Seen| seen.void(&Bound::default());
+    assert_eq!(void(seen.clone()), None);
+    assert!(void(Seen { p99_us: 20_001, ..seen.clone() }).is_some());
+    assert!(void(Seen { worst_us: 1_000_001, ..seen.clone() }).is_some());
+    let starved = void(Seen { starved: Some(("f3".into(), 250_001)), ..seen }).expect("void");
+    assert!(starved.contains("f3 waited 250 ms for a core (load 0.0 on 8 cores)"), "{starved}");
+}
