--- a/crates/history/src/register/search.rs
+++ b/crates/history/src/register/search.rs
@@ -3,15 +3,16 @@
 //! It owns one key's search and nothing of how it came to it. It is Wing and Gong's (J. Parallel and Distributed
 //! Computing 17 (1993)): among the operations that no other must precede, take one that fits the value, go on, take it
 //! back if that leads nowhere. With Lowe's memory (Concurrency and Computation: Practice and Experience 29 (2017)): a
-//! state, which is what has been ordered and the value, is entered once. Four things keep states few; in each, any order
+//! state, which is what has been ordered and the value, is entered once. More things keep states few; in each, any order
 //! that is there can be rearranged into one that is found:
 //!
 //! - What changes nothing and fits is taken at once, never instead of something else.
 //! - A write whose value nobody needs any more is taken just before another one that needs nothing.
 //! - What nobody was told of is taken just before an operation that needs it, and only then: elsewhere it could be moved
 //!   on to one, or left out. At most two at once, a deletion and an insertion. Of equal ones, the earliest.
-//! - In a state as it is remembered, values that nobody needs any more are one, and how many of what nobody was told of
-//!   were taken matters only where their value is still needed.
+//! - A value that is still needed is not left while nothing could bring it back.
+//! - In a state as it is remembered, values that nobody needs any more are one. A state is not entered again with more
+//!   taken of what nobody was told of, as far as that is still needed; steps that take none of that come first.
 //!
 //! A state is kept as the first operation that is not ordered and a set of those after it that are, so that it is as
 //! long as operations overlap, not as the history.
@@ -20,7 +21,7 @@
 use crate::operation::Operation;
 use crate::{Fate, Micros};
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::hash::BuildHasherDefault;
 
 /// What a search comes to.
@@ -181,6 +182,8 @@
     trail: usize,
     low: usize,
     state: State,
+    /// Steps that take nothing that nobody was told of.
+    lean: bool,
     known: usize,
     way: usize,
 }
@@ -196,7 +199,11 @@
     state: State,
     wants: Wants,
     trail: Vec<Taken>,
-    visited: HashSet<Box<[u32]>, BuildHasherDefault<DefaultHasher>>,
+    /// By value, how many that leave it were not taken.
+    makers: Vec<usize>,
+    /// By state, what was taken of `maybe`, as entered.
+    visited: HashMap<Box<[u32]>, Vec<Box<[u32]>>, BuildHasherDefault<DefaultHasher>>,
+    states: usize,
     bytes: usize,
 }
 
@@ -204,6 +211,9 @@
 pub(super) fn search(problem: &Problem, effort: &Effort) -> (Found, usize) {
     let mut wants = Wants::new(&problem.known, problem.makers.len());
     wants.inserts = problem.maybe.iter().any(|m| m.insert);
+    let mut makers = vec![0; problem.makers.len()];
+    problem.known.iter().filter_map(|k| k.put).for_each(|put| makers[put as usize] += 1);
+    problem.maybe.iter().for_each(|m| makers[m.put as usize] += m.invoked.len());
     let mut search = Search {
         problem,
         ordered: vec![false; problem.known.len()],
@@ -213,11 +223,13 @@
         state: ABSENT,
         wants,
         trail: Vec::new(),
-        visited: HashSet::default(),
+        makers,
+        visited: HashMap::default(),
+        states: 0,
         bytes: 0,
     };
     let found = search.run(effort);
-    (found, search.visited.len())
+    (found, search.states)
 }
 
 impl Search<'_> {
@@ -229,13 +241,12 @@
             self.back_to(&place);
             let Some(step) = self.next(&mut place) else { continue };
             places.push(place);
-            self.take(step);
+            if !self.take(step) {
+                continue;
+            }
             self.settle();
-            let words = self.words();
-            let bytes = OVERHEAD + words.len() * size_of::<u32>();
-            if self.visited.insert(words) {
-                self.bytes += bytes;
-                if self.visited.len() > effort.states || self.bytes > effort.bytes {
+            if self.enter() {
+                if self.states > effort.states || self.bytes > effort.bytes {
                     return Found::GaveUp;
                 }
                 places.push(self.place());
@@ -245,7 +256,14 @@
     }
 
     fn place(&self) -> Place {
-        Place { trail: self.trail.len(), low: self.low, state: self.state, known: self.low, way: 0 }
+        Place {
+            trail: self.trail.len(),
+            low: self.low,
+            state: self.state,
+            lean: true,
+            known: self.low,
+            way: 0,
+        }
     }
 
     fn back_to(&mut self, place: &Place) {
@@ -254,9 +272,14 @@
                 Taken::Known(k) => {
                     self.ordered[k] = false;
                     self.left += 1;
-                    *self.wants.count(self.problem.known[k].need) += 1;
+                    let known = &self.problem.known[k];
+                    *self.wants.count(known.need) += 1;
+                    known.put.into_iter().for_each(|put| self.makers[put as usize] += 1);
+                }
+                Taken::Maybe(m) => {
+                    self.taken[m] -= 1;
+                    self.makers[self.problem.maybe[m].put as usize] += 1;
                 }
-                Taken::Maybe(m) => self.taken[m] -= 1,
             }
         }
         (self.low, self.state) = (place.low, place.state);
@@ -298,20 +321,25 @@
     fn next(&self, place: &mut Place) -> Option<Step> {
         let horizon = self.horizon();
         let known = &self.problem.known;
-        while place.known < known.len() && known[place.known].invoked <= horizon {
-            let k = place.known;
-            if !self.ordered[k] {
-                let way = place.way;
+        loop {
+            let Some(next) = known.get(place.known).filter(|k| k.invoked <= horizon) else {
+                if !place.lean || self.problem.maybe.is_empty() {
+                    return None;
+                }
+                (place.lean, place.known, place.way) = (false, self.low, 0);
+                continue;
+            };
+            if !self.ordered[place.known] && self.fits(next.need) == place.lean {
+                let (k, way) = (place.known, place.way);
                 place.way += 1;
-                match self.way(known[k].need, way, horizon) {
+                match self.way(next.need, way, horizon) {
                     Way::Free(before) => return Some(Step { before, known: k }),
                     Way::Barred => continue,
                     Way::Over => {}
                 }
             }
-            (place.known, place.way) = (k + 1, 0);
+            (place.known, place.way) = (place.known + 1, 0);
         }
-        None
     }
 
     fn way(&self, need: Need<State>, way: usize, horizon: Micros) -> Way {
@@ -337,7 +365,9 @@
         }
     }
 
-    fn take(&mut self, step: Step) {
+    /// Takes a step; false where a value is left that is needed and cannot come back.
+    fn take(&mut self, step: Step) -> bool {
+        let mut left = [Some(self.state), None, None];
         let known = &self.problem.known;
         let overwrites = match step.before.iter().flatten().next() {
             Some(m) => !self.problem.maybe[*m].insert,
@@ -351,19 +381,27 @@
             let Some(k) = self.open().find(unread) else { break };
             self.order(k);
         }
-        for m in step.before.into_iter().flatten() {
+        for (n, m) in step.before.into_iter().flatten().enumerate() {
             self.taken[m] += 1;
             self.trail.push(Taken::Maybe(m));
             self.state = self.problem.maybe[m].put;
+            self.makers[self.state as usize] -= 1;
+            left[n + 1] = Some(self.state);
         }
         self.order(step.known);
         self.state = known[step.known].put.unwrap_or(self.state);
+        left.into_iter().flatten().all(|state| {
+            let (wanted, gone) = (self.wants.of[state as usize] > 0, self.makers[state as usize] == 0);
+            state == self.state || !wanted || !gone
+        })
     }
 
     fn order(&mut self, k: usize) {
         self.ordered[k] = true;
         self.left -= 1;
-        *self.wants.count(self.problem.known[k].need) -= 1;
+        let known = &self.problem.known[k];
+        *self.wants.count(known.need) -= 1;
+        known.put.into_iter().for_each(|put| self.makers[put as usize] -= 1);
         self.trail.push(Taken::Known(k));
         while self.ordered.get(self.low) == Some(&true) {
             self.low += 1;
@@ -380,16 +418,30 @@
         }
     }
 
-    /// The state, as it is remembered.
-    fn words(&self) -> Box<[u32]> {
-        let forget = |state: State| if self.wants.idle(state) { FORGOTTEN } else { state };
-        let mut words = vec![self.low as u32, forget(self.state)];
+    /// Remembers the state; false where it was entered with no more taken.
+    fn enter(&mut self) -> bool {
+        let words = self.words();
+        let mut taken = Vec::new();
         for (m, maybe) in self.problem.maybe.iter().enumerate() {
             if self.taken[m] > 0 && !self.wants.idle(maybe.put) {
-                words.extend([m as u32, self.taken[m] as u32]);
+                taken.extend([m as u32, self.taken[m] as u32]);
             }
         }
-        words.push(FORGOTTEN);
+        let bytes = OVERHEAD + (words.len() + taken.len()) * size_of::<u32>();
+        let before = self.visited.entry(words).or_default();
+        if before.iter().any(|b| no_more(b, &taken)) {
+            return false;
+        }
+        before.push(taken.into());
+        self.states += 1;
+        self.bytes += bytes;
+        true
+    }
+
+    /// The state as it is remembered, without what was taken of what nobody was told of.
+    fn words(&self) -> Box<[u32]> {
+        let forget = |state: State| if self.wants.idle(state) { FORGOTTEN } else { state };
+        let mut words = vec![self.low as u32, forget(self.state)];
         // What is ordered after `low` was invoked before that returned.
         let last = self.problem.known.get(self.low).map_or(Micros::MIN, |k| k.returned);
         let (mut word, mut bits) = (0, 0);
@@ -418,3 +470,10 @@
     /// There are no more.
     Over,
 }
+
+/// Whether of each kind no more is in one list of kinds and numbers than in another; both by kind.
+fn no_more(one: &[u32], other: &[u32]) -> bool {
+    let mut others = other.chunks_exact(2);
+    one.chunks_exact(2)
+        .all(|a| others.by_ref().find(|b| b[0] >= a[0]).is_some_and(|b| b[0] == a[0] && b[1] >= a[1]))
+}
