--- /dev/null
+++ b/crates/lab/tests/fleet_play.rs
@@ -0,0 +1,103 @@
+//! A small fleet of real processes under a few faults, from its start to its judgement. What is asserted is what must
+//! hold; how soon it came about is not.
+
+use lab::fleet::play::{play, Played, Setting};
+use lab::fleet::report::Shown;
+use lab::host::Silent;
+use lab::loopback::children::Program;
+use std::path::Path;
+use std::process::Command;
+use world::fleet::schedule::Schedule;
+
+/// A node hangs, the planners are cut from a forwarder one way, a planner is killed and comes back.
+const SMALL: &str = "\
+seconds = 3.5
+[fleet]
+planners = 2
+forwarders = 3
+nodes = 6
+rate_per_s = 20
+[expect]
+converge_s = 60
+wrong_s = 60
+[[faults]]
+kind = \"hang\"
+at_s = 0.2
+for_s = 3
+who = \"s0\"
+[[faults]]
+kind = \"cut\"
+at_s = 0.5
+for_s = 1
+from = \"role:planner\"
+to = \"f2\"
+[[faults]]
+kind = \"restart\"
+at_s = 2
+down_s = 0.2
+who = \"p1\"
+";
+
+fn schedule() -> Schedule {
+    let schedule: Schedule = toml::from_str(SMALL).expect("TOML");
+    assert_eq!(schedule.validate(), Ok(()));
+    schedule
+}
+
+fn played(schedule: &Schedule) -> Played {
+    let program = Program::of_lab(Path::new(env!("CARGO_BIN_EXE_lab"))).expect("the lab");
+    let setting = Setting { schedule, seed: 1, program, old: None, plant: None, out: None };
+    play(&setting, &Silent).expect("a run")
+}
+
+#[test]
+fn a_small_fleet_survives_a_hang_a_one_sided_cut_and_a_planner_that_dies() {
+    let schedule = schedule();
+    let played = played(&schedule);
+    // A machine that is too busy voids a run; what was seen then says nothing.
+    if played.void.is_none() {
+        assert_eq!(played.breaches, []);
+        assert!(played.figures.values > 0 && played.figures.requests > 0);
+        // All found the node silent, and took it back.
+        for f in ["f0", "f1", "f2"] {
+            let spans = played.tracks[f].avoided("s0");
+            assert!(spans.iter().all(|(_, until, _)| until.is_some()), "{f}: {spans:?}");
+        }
+        let now = played.tracks["f0"].now();
+        assert!(now.runs && now.hears.len() == 2, "{now:?}");
+    }
+    let lives = played.tracks["p1"].changes.last().map(|c| c.life);
+    assert_eq!(lives, Some(2), "it was killed and started again");
+    let shown = Shown { schedule: &schedule, seed: 1, played: &played };
+    let page = shown.page().expect("a page");
+    for text in ["hang s0", "cut role:planner &gt; f2", "restart p1", "p0 hofdi", "f2 hofdi"] {
+        assert!(page.contains(text), "{text}");
+    }
+    let json: serde_json::Value = serde_json::from_str(&shown.json()).expect("JSON");
+    assert_eq!(json["faults"].as_array().map(Vec::len), Some(3));
+}
+
+#[test]
+fn what_is_wrong_with_a_schedule_is_one_line_with_its_place() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("s.toml");
+    std::fs::write(&path, "seconds = 3\n\n[[faults]]\nkind = \"hang\"\nat_s = 1\nfor_s = 1\nwho = \"p9\"\n").expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_lab")).args(["fleet", "check"]).arg(&path).output().expect("it starts");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+    assert!(said.contains("s.toml:7: faults[0].who: there is no p9 in this fleet"), "{said}");
+}
+
+#[test]
+fn all_schedules_of_the_repository_are_right_and_their_plans_are_the_same_each_time() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/fleet");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).expect("schedules") {
+        let path = entry.expect("a file").path();
+        let schedule: Schedule = lab::input::file::read(&path).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(schedule.plan(3), schedule.plan(3), "{path:?}");
+        count += 1;
+    }
+    assert!(count > 10, "{count}");
+}
