Play a fleet's faults between planners in virtual time too, in the same words

Need: one vocabulary of faults, two hosts. Change: the virtual host's planned fleet carries out a schedule's links and restarts of planners with the same plan and the same model of a line. Measured: a test of a cut and its end in virtual time; other kinds of fault at processes are loopback's alone.

--- a/crates/lab/src/virtual_host/planned.rs
+++ b/crates/lab/src/virtual_host/planned.rs
@@ -3,7 +3,8 @@
 //!
 //! Use it to compare a scenario with planners and without. One [`Fleet`] serves one run. The way to planners is
 //! not the world's network: messages take [`WAY`], and a cut of halls (told by the scenario) loses them, as it
-//! loses those between proxies and nodes. Planner processes do not fail here; `crates/plan/tests` has that.
+//! loses those between proxies and nodes. Beside that it takes a plan of faults of a fleet ([`Fleet::struck`]), in the
+//! same words and by the same model of links as `lab fleet` has for real processes.
 
 use super::{Start, Subject, Subjects};
 use martenweir::core::{Core, Effect, Input};
@@ -15,6 +16,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use world::fleet::fault::Role;
+use world::fleet::link::{ChunkFate, Condition, Line};
+use world::fleet::schedule::{Act, Action, Plan as Faults};
 use world::random::seconds;
 use world::scenario::{FaultKind, Scenario};
 
@@ -53,7 +57,8 @@
 }
 
 struct Hub {
-    planners: Vec<Planner>,
+    /// None where one does not run.
+    planners: Vec<Option<Planner>>,
     open: BTreeMap<Link, Open>,
     last: Link,
     /// Messages on their way, by time and order.
@@ -63,9 +68,48 @@
     mail: BTreeMap<u32, Vec<(Link, usize, Message)>>,
     /// When halls are cut from each other: from, until, the hall.
     cuts: Vec<(Micros, Micros, u16)>,
+    /// Directions with faults, by proxy, planner and which of them hears.
+    ways: BTreeMap<(u32, usize, bool), Way>,
+    /// When planners end and start, the next one last.
+    lives: Vec<(Micros, usize, bool)>,
+    rules: plan::Rules,
     figures: Figures,
 }
 
+/// One direction of a link.
+struct Way {
+    /// What befalls it from each moment on.
+    conditions: Vec<(Micros, Condition)>,
+    line: Line,
+    /// When the last message arrives: nothing overtakes it.
+    last: Micros,
+}
+
+impl Way {
+    fn condition(&self, at: Micros) -> Condition {
+        let now = self.conditions.iter().take_while(|(from, _)| *from <= at).last();
+        now.map(|(_, c)| c.clone()).unwrap_or_default()
+    }
+
+    /// When what is sent now arrives, if ever: a connection loses nothing while it lasts.
+    fn arrives(&mut self, now: Micros, bytes: usize) -> Option<Micros> {
+        let mut at = now;
+        loop {
+            let condition = self.condition(at);
+            match self.line.chunk(at, bytes, &condition, self.last) {
+                ChunkFate::Due(delivery) => {
+                    self.last = delivery.at_us;
+                    return Some(self.last.saturating_add(WAY));
+                }
+                ChunkFate::Held => {
+                    at = self.conditions.iter().map(|(from, _)| *from).find(|from| *from > at)?;
+                    self.line.changed();
+                }
+            }
+        }
+    }
+}
+
 /// What of plans is kept from the module, to see what each is worth.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Kept {
@@ -125,18 +169,54 @@
         let cuts = scenario.faults.iter().filter(cut);
         let cuts = cuts.map(|f| (seconds(f.at_s), seconds(f.at_s + f.for_s), hall(&f.hall))).collect();
         let hub = Hub {
-            planners: made.collect::<Result<_, _>>()?,
+            planners: made.map(|p| p.map(Some)).collect::<Result<_, _>>()?,
             open: BTreeMap::new(),
             last: 0,
             way: BTreeMap::new(),
             order: 0,
             mail: BTreeMap::new(),
             cuts,
+            ways: BTreeMap::new(),
+            lives: Vec::new(),
+            rules,
             figures: Figures::default(),
         };
         Ok(Fleet { hub: Arc::new(Mutex::new(hub)), planners, kept: Kept::default() })
     }
 
+    /// The same, under the faults of a plan between planners `p0`, `p1`, … and proxies, which it calls `f0`, `f1`, …:
+    /// what befalls their links, and planners that end and start again, empty. Pauses, forwarders that end, garbled
+    /// bytes and nodes are left out: those are real processes' (`lab fleet`), and the scenario's.
+    pub fn struck(self, faults: &Faults, seed: u64) -> Fleet {
+        let mut hub = lock(&self.hub);
+        let place = |member: usize, role: Role| faults.of(role).position(|m| m == member);
+        for step in &faults.steps {
+            match &step.action {
+                Action::Link { from, to, condition } => {
+                    let up = place(*from, Role::Forwarder).zip(place(*to, Role::Planner));
+                    let down = place(*to, Role::Forwarder).zip(place(*from, Role::Planner));
+                    let Some((f, p)) = up.or(down) else { continue };
+                    let line = Line::new(seed, faults.name(*from), faults.name(*to));
+                    let new = Way { conditions: Vec::new(), line, last: Micros::MIN };
+                    let way = hub.ways.entry((f as u32, p, up.is_some())).or_insert(new);
+                    way.conditions.push((step.at, condition.clone()));
+                }
+                Action::Process { who, what } => {
+                    let Some(p) = place(*who, Role::Planner) else { continue };
+                    match what {
+                        Act::Kill | Act::Terminate => hub.lives.push((step.at, p, false)),
+                        Act::Start { .. } => hub.lives.push((step.at, p, true)),
+                        _ => {}
+                    }
+                }
+                Action::Reset { .. } | Action::Node { .. } => {}
+            }
+        }
+        hub.lives.reverse();
+        drop(hub);
+        self
+    }
+
     /// The same, with some of its plans kept from the module.
     pub fn keeping(self, kept: Kept) -> Fleet {
         Fleet { kept, ..self }
@@ -156,16 +236,42 @@
     }
 
     fn send(&mut self, now: Micros, to: To, link: Link, message: Message) {
-        let Some((slot, hall)) = self.open.get(&link).map(|o| (o.slot, o.hall)) else { return };
+        let Some((slot, hall, proxy)) = self.open.get(&link).map(|o| (o.slot, o.hall, o.proxy)) else { return };
         // All that goes has been made by these machines: it can be encoded.
         let bytes = frame::encode(&message).map_or(0, |b| b.len() as u64);
         match to {
             To::Planner => self.figures.heard += bytes,
             To::Forwarder => self.figures.said += bytes,
         }
-        if !self.cut(now, slot, hall) {
+        let arrives = match self.ways.get_mut(&(proxy, slot, matches!(to, To::Planner))) {
+            Some(way) => way.arrives(now, bytes as usize),
+            None => Some(now + WAY),
+        };
+        if let Some(at) = arrives.filter(|_| !self.cut(now, slot, hall)) {
             self.order += 1;
-            self.way.insert((now + WAY, self.order), (to, link, message));
+            self.way.insert((at, self.order), (to, link, message));
+        }
+    }
+
+    /// Whether a connection comes up.
+    fn reaches(&self, now: Micros, proxy: u32, slot: usize) -> bool {
+        let condition = |up| self.ways.get(&(proxy, slot, up)).map(|w| w.condition(now)).unwrap_or_default();
+        let (out, back) = (condition(true), condition(false));
+        let runs = self.planners.get(slot).is_some_and(Option::is_some);
+        runs && !out.refuse && !out.holds_all() && !back.holds_all()
+    }
+
+    /// A planner ends, and all that it knew with it; or another one starts in its place.
+    fn turn(&mut self, at: Micros, slot: usize, starts: bool) {
+        let Some(planner) = self.planners.get_mut(slot) else { return };
+        match (starts, planner.is_some()) {
+            // Its epoch is a clock's milliseconds, as in service.
+            (true, false) => *planner = Planner::new(at, self.rules.clone(), 1_000 + at.unsigned_abs() / 1_000).ok(),
+            (false, true) => {
+                *planner = None;
+                self.open.retain(|_, open| open.slot != slot);
+            }
+            _ => {}
         }
     }
 
@@ -173,11 +279,17 @@
     fn advance(&mut self, now: Micros) {
         loop {
             let message = self.way.first_key_value().map_or(Micros::MAX, |(at, _)| at.0);
-            let tick = self.planners.iter().map(Planner::next).min().unwrap_or(Micros::MAX);
-            let at = message.min(tick);
+            let tick = self.planners.iter().flatten().map(Planner::next).min().unwrap_or(Micros::MAX);
+            let turn = self.lives.last().map_or(Micros::MAX, |(at, ..)| *at);
+            let at = message.min(tick).min(turn);
             if at > now {
                 return;
             }
+            if turn == at {
+                let (_, slot, starts) = self.lives.pop().unwrap_or_default();
+                self.turn(at, slot, starts);
+                continue;
+            }
             let mut out = Vec::new();
             if message <= tick {
                 let Some((_, (to, link, message))) = self.way.pop_first() else { return };
@@ -188,7 +300,7 @@
                         self.mail.entry(open.proxy).or_default().push((link, open.slot, message));
                     }
                     To::Planner => {
-                        let Some(planner) = self.planners.get_mut(open.slot) else { continue };
+                        let Some(Some(planner)) = self.planners.get_mut(open.slot) else { continue };
                         if planner.message(at, link, &message, &mut out).is_err() {
                             planner.down(link);
                             self.open.remove(&link);
@@ -196,7 +308,7 @@
                     }
                 }
             } else {
-                self.planners.iter_mut().filter(|p| p.next() <= at).for_each(|p| p.tick(at, &mut out));
+                self.planners.iter_mut().flatten().filter(|p| p.next() <= at).for_each(|p| p.tick(at, &mut out));
             }
             for output in out {
                 match output {
@@ -211,7 +323,7 @@
     }
 
     fn close(&mut self, link: Link) {
-        if let Some(planner) = self.open.remove(&link).and_then(|o| self.planners.get_mut(o.slot)) {
+        if let Some(Some(planner)) = self.open.remove(&link).and_then(|o| self.planners.get_mut(o.slot)) {
             planner.down(link);
         }
     }
@@ -281,7 +393,7 @@
         self.forwarding.tick(now, &mut self.wishes);
         for wish in std::mem::take(&mut self.wishes) {
             match wish {
-                Wish::Dial(slot) if hub.cut(now, slot, self.hall) => {
+                Wish::Dial(slot) if hub.cut(now, slot, self.hall) || !hub.reaches(now, self.proxy, slot) => {
                     self.forwarding.down(now, slot, "cut off");
                 }
                 Wish::Dial(slot) => {
@@ -290,7 +402,8 @@
                     let open = Open { proxy: self.proxy, slot, hall: self.hall, heard: now };
                     hub.open.insert(link, open);
                     self.links.insert(slot, link);
-                    let accepted = hub.planners.get_mut(slot).is_some_and(|p| p.up(now, link).is_ok());
+                    let planner = hub.planners.get_mut(slot).and_then(Option::as_mut);
+                    let accepted = planner.is_some_and(|p| p.up(now, link).is_ok());
                     if accepted {
                         self.forwarding.up(now, slot);
                     }
--- a/crates/lab/tests/planned.rs
+++ b/crates/lab/tests/planned.rs
@@ -2,6 +2,7 @@
 
 use lab::virtual_host::planned::{Fleet, Kept};
 use lab::virtual_host::{run, Real};
+use world::fleet::schedule::Schedule;
 use world::scenario::{Fault, FaultKind, Scenario};
 
 /// Two of nine nodes answer nothing from the 6th second on, for 6 s; planners have opinions from 3.5 s on.
@@ -33,3 +34,30 @@
     assert_eq!(figures.changes, u64::from(scenario.proxies.count) * 4, "each mark comes and goes once");
     assert_eq!(run.breaches, 0);
 }
+
+/// The words of `lab fleet`, and its model of links, in virtual time.
+#[test]
+fn what_befalls_planners_is_played_in_the_words_of_fleets() {
+    let scenario = hang();
+    let avoided = |faults: &str| {
+        let text = format!("seconds = 16\n[fleet]\nplanners = 3\nforwarders = 3\nnodes = 9\n{faults}");
+        let schedule: Schedule = toml::from_str(&text).expect("TOML");
+        assert_eq!(schedule.validate(), Ok(()));
+        let fleet = Fleet::new(&scenario, 3).expect("sound rules").struck(&schedule.plan(1), 1);
+        run(&scenario, 4, &fleet, &mut |_| {}).expect("it runs");
+        fleet.figures().avoided
+    };
+    let of = |figures: &std::collections::BTreeMap<u32, Vec<i64>>, f: u32| figures.get(&f).map_or(0, Vec::len);
+    let cut = |from: &str, to: &str| {
+        avoided(&format!("[[faults]]\nkind = \"cut\"\nat_s = 5\nfor_s = 9\nfrom = \"{from}\"\nto = \"{to}\"\n"))
+    };
+    // Whoever hears no planner is told nothing; the others are.
+    let deaf = cut("role:planner", "f1");
+    assert_eq!((of(&deaf, 0), of(&deaf, 1), of(&deaf, 2)), (2, 0, 2), "{deaf:?}");
+    // Planners that hear nobody find nothing.
+    let unheard = cut("role:forwarder", "role:planner");
+    assert!((0..3).all(|f| of(&unheard, f) == 0), "{unheard:?}");
+    // Those that end before and come back in time find it, later.
+    let back = avoided("[[faults]]\nkind = \"restart\"\nat_s = 5\ndown_s = 1\nwho = \"role:planner\"\n");
+    assert!(back.values().all(|t| t.len() == 2 && t[1] > 8_000_000) && back.len() == 3, "{back:?}");
+}
