--- a/crates/lab/src/commands/fleet.rs
+++ b/crates/lab/src/commands/fleet.rs
@@ -274,7 +274,12 @@
         for failure in &found.failures {
             let (token, what) = smallest(failure);
             let drawn = faults(&failure.token).join("; ");
-            say(&format!("\nrun {}: {}: {}\n  drawn: {drawn}\n", failure.position, failure.how.rule.name(), failure.how.what));
+            say(&format!(
+                "\nrun {}: {}: {}\n  drawn: {drawn}\n",
+                failure.position,
+                failure.how.rule.name(),
+                failure.how.what
+            ));
             if failure.small.is_some() {
                 let f = &token.scenario.fleet;
                 let (planners, forwarders, nodes) = (f.planners, f.forwarders, f.nodes);
--- a/crates/lab/src/fleet/stage.rs
+++ b/crates/lab/src/fleet/stage.rs
@@ -66,10 +66,21 @@
 /// What clients met, in the order of time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Met {
-    Asked { id: u64, at: Micros, forwarder: usize },
-    Ended { id: u64, at: Micros, end: End },
+    Asked {
+        id: u64,
+        at: Micros,
+        forwarder: usize,
+    },
+    Ended {
+        id: u64,
+        at: Micros,
+        end: End,
+    },
     /// Something came after the answer, or an answer to another request.
-    Stray { id: u64, at: Micros },
+    Stray {
+        id: u64,
+        at: Micros,
+    },
 }
 
 enum Order {
@@ -102,7 +113,8 @@
     /// No socket or no thread to be had.
     pub fn start(clock: Clock, setting: Setting) -> io::Result<Stage> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listeners: Vec<Async<TcpListener>> = (0..=setting.nodes).map(|_| listen(any)).collect::<Result<_, _>>()?;
+        let listeners: Vec<Async<TcpListener>> =
+            (0..=setting.nodes).map(|_| listen(any)).collect::<Result<_, _>>()?;
         let mut addresses: Vec<SocketAddr> =
             listeners.iter().map(|l| l.get_ref().local_addr()).collect::<Result<_, _>>()?;
         let discovery = addresses.pop().unwrap_or(any);
@@ -208,7 +220,11 @@
     }
 
     /// Until nobody gives orders any more.
-    async fn work(self: Rc<Self>, mut listeners: Vec<Async<TcpListener>>, orders: Receiver<(Order, Sender<()>)>) {
+    async fn work(
+        self: Rc<Self>,
+        mut listeners: Vec<Async<TcpListener>>,
+        orders: Receiver<(Order, Sender<()>)>,
+    ) {
         let discovery = listeners.pop().map(|l| self.executor.spawn(self.clone().discover(l)));
         for (node, listener) in listeners.into_iter().enumerate() {
             self.open(node, listener);
