--- /dev/null
+++ b/crates/lab/tests/fleet_links.rs
@@ -0,0 +1,615 @@
+//! Links between two scripted peers, kind of fault by kind: each sees exactly the fault that was asked for, in the
+//! direction asked for, and none before or after.
+//!
+//! A check looks at what comes, in which order and what it holds, never at how long that took: that nothing came is
+//! known from what the relay says it holds or lost. Each check is also run where the fault is not, and must say so.
+
+use lab::fleet::links::{Condition, Delay, Links, Traffic};
+use rstest::rstest;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A wait for what must come ends here, as a failure.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+fn links() -> Links {
+    Links::start(11).expect("a thread")
+}
+
+/// Waits until it holds.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !holds() {
+        assert!(from.elapsed() < PATIENCE, "never: {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// `a` has opened a connection to `b`'s listener through a link.
+struct Pair {
+    links: Links,
+    listener: TcpListener,
+    address: SocketAddr,
+    a: TcpStream,
+    b: TcpStream,
+}
+
+fn ready(socket: &TcpStream) {
+    socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    socket.set_write_timeout(Some(PATIENCE)).expect("a time-out");
+    socket.set_nodelay(true).expect("no delay");
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    let b = listener.accept().expect("a connection").0;
+    ready(&b);
+    b
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let a = TcpStream::connect(address).expect("the relay listens");
+    ready(&a);
+    a
+}
+
+impl Pair {
+    fn new() -> Self {
+        let links = links();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let address = links.tcp("a", "b", "main", at).expect("a link");
+        let a = connect(address);
+        let b = accept(&listener);
+        Pair { links, listener, address, a, b }
+    }
+
+    fn set(&self, way: Way, condition: Condition) {
+        let (from, to) = way.names();
+        self.links.set(from, to, condition).expect("it is set");
+    }
+
+    fn traffic(&self, way: Way) -> Traffic {
+        let (from, to) = way.names();
+        self.links.traffic(from, to)
+    }
+
+    /// The ends of a way: who sends, who receives.
+    fn ends(&mut self, way: Way) -> (&mut TcpStream, &mut TcpStream) {
+        match way {
+            Way::There => (&mut self.a, &mut self.b),
+            Way::Back => (&mut self.b, &mut self.a),
+        }
+    }
+
+    /// What is sent arrives and is what was sent.
+    fn flows(&mut self, way: Way) -> bool {
+        let (from, to) = self.ends(way);
+        from.write_all(b"0123456789").expect("it is taken");
+        let mut got = [0; 10];
+        to.read_exact(&mut got).expect("it arrives");
+        got == *b"0123456789"
+    }
+
+    /// Sends, and waits until the relay holds it: whether nothing of it has arrived then.
+    fn is_held(&mut self, way: Way, bytes: &[u8]) -> bool {
+        let (waiting, passed) = (self.traffic(way).waiting, self.traffic(way).bytes);
+        self.ends(way).0.write_all(bytes).expect("it is taken");
+        let all = waiting + passed + bytes.len() as u64;
+        until("the relay has read it", || {
+            let t = self.traffic(way);
+            t.waiting + t.bytes >= all
+        });
+        is_silent(self.ends(way).1)
+    }
+}
+
+/// Whether there is nothing to read now, and no end.
+fn is_silent(socket: &TcpStream) -> bool {
+    socket.set_nonblocking(true).expect("a mode");
+    let seen = socket.peek(&mut [0]);
+    socket.set_nonblocking(false).expect("a mode");
+    matches!(seen, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    There,
+    Back,
+}
+
+impl Way {
+    fn names(self) -> (&'static str, &'static str) {
+        match self {
+            Way::There => ("a", "b"),
+            Way::Back => ("b", "a"),
+        }
+    }
+
+    fn other(self) -> Way {
+        match self {
+            Way::There => Way::Back,
+            Way::Back => Way::There,
+        }
+    }
+}
+
+#[rstest]
+fn a_direction_that_is_held_holds_its_bytes_and_no_others(
+    #[values(Condition::cut(), Condition::stall(), Condition { lose: 1.0, ..Condition::default() })]
+    fault: Condition,
+    #[values(Way::There, Way::Back)] way: Way,
+) {
+    let mut pair = Pair::new();
+    assert!(pair.flows(way) && pair.flows(way.other()));
+    // The cut comes in the middle of a frame.
+    let frame: Vec<u8> = (0..40_000u32).map(|n| (n % 251) as u8).collect();
+    let (from, to) = pair.ends(way);
+    from.write_all(&frame[..7]).expect("it is taken");
+    let mut got = vec![0; 7];
+    to.read_exact(&mut got).expect("it arrives");
+    pair.set(way, fault);
+    assert!(pair.is_held(way, &frame[7..]), "it passed a link that is cut");
+    // The other direction of the same connection goes on.
+    assert!(pair.flows(way.other()) && pair.flows(way.other()));
+    assert!(is_silent(pair.ends(way).1));
+    pair.set(way, Condition::default());
+    let (from, to) = pair.ends(way);
+    got.resize(frame.len(), 0);
+    to.read_exact(&mut got[7..]).expect("it arrives");
+    assert!(got == frame, "bytes of the frame were lost, doubled or put out of order");
+    assert!(is_silent(to) && is_silent(from));
+    assert!(pair.flows(way) && pair.flows(way.other()));
+}
+
+#[test]
+fn what_holds_nothing_is_not_seen_to_hold() {
+    let mut pair = Pair::new();
+    assert!(!pair.is_held(Way::There, b"whole"), "no fault, and the check says there is one");
+    let mut got = [0; 5];
+    pair.b.read_exact(&mut got).expect("it arrives");
+    pair.set(Way::Back, Condition::cut());
+    assert!(!pair.is_held(Way::There, b"whole"), "the fault is in the other direction");
+}
+
+/// Bytes of a sender who is never at the same place twice.
+fn pattern(count: usize) -> Vec<u8> {
+    (0..count as u32).flat_map(|n| n.to_be_bytes()).collect()
+}
+
+#[rstest]
+fn a_link_that_is_healed_with_full_buffers_has_lost_nothing(
+    #[values(Condition::cut(), Condition::stall())] fault: Condition,
+) {
+    let mut pair = Pair::new();
+    pair.set(Way::There, fault);
+    let all = pattern(4 << 20);
+    // All that the systems and the relay take, until the sender's is full.
+    pair.a.set_nonblocking(true).expect("a mode");
+    let mut sent = 0;
+    let mut last = u64::MAX;
+    loop {
+        match pair.a.write(&all[sent..]) {
+            Ok(n) => sent += n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                let waiting = pair.traffic(Way::There).waiting;
+                if waiting == last && waiting > 0 {
+                    break;
+                }
+                last = waiting;
+                thread::sleep(Duration::from_millis(5));
+            }
+            Err(e) => panic!("{e}"),
+        }
+    }
+    assert!(sent < all.len(), "a link that is cut takes no end of bytes");
+    let held = pair.traffic(Way::There);
+    assert!(held.waiting <= 256 * 1024, "the relay holds {}", held.waiting);
+    pair.a.set_nonblocking(false).expect("a mode");
+    assert!(is_silent(&pair.b) && pair.flows(Way::Back));
+    let mut rest = pair.a.try_clone().expect("a handle");
+    let tail = all[sent..].to_vec();
+    let writer = thread::spawn(move || rest.write_all(&tail).and_then(|()| rest.shutdown(Shutdown::Write)));
+    pair.set(Way::There, Condition::default());
+    let mut got = Vec::new();
+    pair.b.read_to_end(&mut got).expect("all arrives");
+    writer.join().expect("it ends").expect("all is taken");
+    assert!(got == all, "{} of {} bytes", got.len(), all.len());
+    assert_eq!(pair.traffic(Way::There).waiting, 0);
+}
+
+#[test]
+fn a_half_close_stays_one_and_waits_for_a_cut_as_bytes_do() {
+    let mut pair = Pair::new();
+    pair.set(Way::There, Condition::cut());
+    assert!(pair.is_held(Way::There, b"last words"));
+    pair.a.shutdown(Shutdown::Write).expect("a half-close");
+    assert!(pair.flows(Way::Back));
+    assert!(is_silent(&pair.b), "the end overtook the bytes, or passed a cut");
+    pair.set(Way::There, Condition::default());
+    let mut got = String::new();
+    pair.b.read_to_string(&mut got).expect("the end of one direction");
+    assert_eq!(got, "last words");
+    for _ in 0..3 {
+        assert!(pair.flows(Way::Back), "the other direction is open still");
+    }
+    pair.b.shutdown(Shutdown::Write).expect("a half-close");
+    assert_eq!(pair.a.read(&mut [0]).expect("an end, no reset"), 0);
+}
+
+/// How a connection ended for a reader.
+fn ending(socket: &mut TcpStream) -> &'static str {
+    match socket.read(&mut [0; 64]) {
+        Ok(0) => "closed",
+        Ok(_) => "bytes",
+        Err(e) if e.kind() == ErrorKind::ConnectionReset => "reset",
+        Err(e) => panic!("{e}"),
+    }
+}
+
+#[test]
+fn a_reset_strikes_both_ends_of_that_link_and_no_other() {
+    let mut pair = Pair::new();
+    let other = pair.links.tcp("c", "b", "main", pair.listener.local_addr().expect("an address"));
+    let mut c = connect(other.expect("a link"));
+    let mut cb = accept(&pair.listener);
+    assert_eq!(pair.links.reset("b", "a").expect("it is done"), 1, "whoever opened it");
+    assert_eq!((ending(&mut pair.a), ending(&mut pair.b)), ("reset", "reset"));
+    c.write_all(b"x").expect("it is taken");
+    assert_eq!((ending(&mut cb), pair.links.reset("a", "b").expect("none is left")), ("bytes", 0));
+    pair.a = connect(pair.address);
+    pair.b = accept(&pair.listener);
+    assert!(pair.flows(Way::There) && pair.flows(Way::Back));
+    // Not one: a connection that a peer closes.
+    drop(pair.a);
+    assert_eq!(ending(&mut pair.b), "closed");
+}
+
+#[test]
+fn a_peers_own_reset_is_passed_on_as_one_and_waits_for_a_cut() {
+    let mut pair = Pair::new();
+    pair.set(Way::There, Condition::cut());
+    assert!(pair.is_held(Way::There, b"before"));
+    let a = socket2::Socket::from(pair.a.try_clone().expect("a handle"));
+    a.set_linger(Some(Duration::ZERO)).expect("an option");
+    drop(a);
+    drop(std::mem::replace(&mut pair.a, connect(pair.address)));
+    until("the relay has seen what came after the reset", || pair.traffic(Way::There).connections == 2);
+    assert!(is_silent(&pair.b), "a reset passed a cut");
+    pair.set(Way::There, Condition::default());
+    let mut got = [0; 6];
+    pair.b.read_exact(&mut got).expect("what was sent before the reset");
+    assert_eq!((&got, ending(&mut pair.b)), (b"before", "reset"));
+}
+
+#[test]
+fn refused_connections_do_not_touch_those_that_are_up() {
+    let mut pair = Pair::new();
+    let refused = |pair: &Pair| TcpStream::connect(pair.address).err().map(|e| e.kind());
+    pair.set(Way::Back, Condition { refuse: true, ..Condition::default() });
+    assert_eq!(refused(&pair), None, "it is for those that the other opens");
+    drop(accept(&pair.listener));
+    pair.set(Way::There, Condition { refuse: true, ..Condition::default() });
+    assert_eq!(refused(&pair), Some(ErrorKind::ConnectionRefused));
+    assert!(pair.flows(Way::There) && pair.flows(Way::Back));
+    // With those that are up, if they are to go too.
+    assert_eq!(pair.links.reset("a", "b").expect("it is done"), 1);
+    assert_eq!(ending(&mut pair.a), "reset");
+    pair.set(Way::There, Condition::default());
+    pair.a = connect(pair.address);
+    pair.b = accept(&pair.listener);
+    assert!(pair.flows(Way::There) && pair.flows(Way::Back));
+}
+
+#[rstest]
+fn a_connection_comes_up_across_a_cut_only_when_it_is_over(#[values(Way::There, Way::Back)] way: Way) {
+    let pair = Pair::new();
+    pair.set(way, Condition::cut());
+    let mut a = connect(pair.address);
+    a.write_all(b"hello").expect("it is taken");
+    // One whose opener gives up before it is up never was.
+    drop(connect(pair.address));
+    let mut gone = connect(pair.address);
+    gone.write_all(b"stale").expect("it is taken");
+    drop(gone);
+    until("the relay has accepted them", || pair.traffic(Way::There).connections == 4);
+    pair.listener.set_nonblocking(true).expect("a mode");
+    let early = pair.listener.accept();
+    assert!(matches!(early, Err(e) if e.kind() == ErrorKind::WouldBlock), "it was dialled across a cut");
+    pair.listener.set_nonblocking(false).expect("a mode");
+    pair.set(way, Condition::default());
+    let mut b = accept(&pair.listener);
+    let mut got = [0; 5];
+    b.read_exact(&mut got).expect("it arrives");
+    assert_eq!(&got, b"hello");
+    // The others would have come before or with it.
+    let mut last = connect(pair.address);
+    last.write_all(b"after").expect("it is taken");
+    let mut next = accept(&pair.listener);
+    next.read_exact(&mut got).expect("it arrives");
+    assert_eq!(&got, b"after");
+}
+
+#[test]
+fn a_target_that_is_gone_refuses_and_one_started_anew_is_found() {
+    let mut pair = Pair::new();
+    let new = TcpListener::bind("127.0.0.1:0").expect("a port");
+    drop(std::mem::replace(&mut pair.listener, TcpListener::bind("127.0.0.1:0").expect("a port")));
+    let mut a = connect(pair.address);
+    assert_eq!(ending(&mut a), "reset");
+    until("it is counted", || pair.traffic(Way::There).refused == 1);
+    pair.links.shut("b", "main").expect("a link");
+    let refused = TcpStream::connect(pair.address).map_err(|e| e.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    pair.links.aim("b", "main", new.local_addr().expect("an address")).expect("a link");
+    pair.listener = new;
+    assert!(pair.links.aim("b", "other", pair.address).is_err(), "there is no such link");
+    pair.a = connect(pair.address);
+    pair.b = accept(&pair.listener);
+    assert!(pair.flows(Way::There) && pair.flows(Way::Back));
+}
+
+#[test]
+fn a_peer_that_reads_nothing_is_written_to_until_its_system_is_full() {
+    // As a process that is stopped: its system takes what comes.
+    let mut pair = Pair::new();
+    let all = pattern(4 << 20);
+    let copy = all.clone();
+    let mut a = pair.a.try_clone().expect("a handle");
+    let writer = thread::spawn(move || a.write_all(&copy));
+    until("its system takes no more", || pair.traffic(Way::There).waiting > 128 * 1024);
+    assert!(pair.traffic(Way::There).bytes > 0 && pair.flows(Way::Back));
+    let mut got = vec![0; all.len()];
+    pair.b.read_exact(&mut got).expect("all arrives");
+    writer.join().expect("it ends").expect("all is taken");
+    assert!(got == all, "bytes were lost, doubled or put out of order");
+}
+
+#[rstest]
+fn delays_and_losses_and_limits_cost_a_connection_time_and_no_bytes(
+    #[values(
+        Condition { delay: Delay { fixed_ms: 5.0, jitter_ms: 5.0, tail_one_in: 4, tail_ms: 5.0 }, ..Condition::default() },
+        Condition { lose: 0.05, ..Condition::default() },
+        Condition { bytes_per_s: Some(400_000), ..Condition::default() },
+        Condition { duplicate: 1.0, reorder: 1.0, ..Condition::default() }
+    )]
+    fault: Condition,
+    #[values(Way::There, Way::Back)] way: Way,
+) {
+    let mut pair = Pair::new();
+    pair.set(way, fault);
+    let all = pattern(8_000);
+    let copy = all.clone();
+    let (from, to) = pair.ends(way);
+    let mut from = from.try_clone().expect("a handle");
+    let writer = thread::spawn(move || from.write_all(&copy));
+    let mut got = vec![0; all.len()];
+    to.read_exact(&mut got).expect("all arrives");
+    writer.join().expect("it ends").expect("all is taken");
+    assert!(got == all, "bytes were lost, doubled or put out of order");
+    pair.set(way, Condition::default());
+    assert!(pair.flows(way) && pair.flows(way.other()) && is_silent(pair.ends(way).1));
+}
+
+#[rstest]
+fn a_fixed_delay_is_kept_in_its_direction_and_ends_with_it(#[values(Way::There, Way::Back)] way: Way) {
+    const DELAY: Duration = Duration::from_millis(60);
+    let mut pair = Pair::new();
+    pair.set(way, Condition::delayed(60.0));
+    let from = Instant::now();
+    assert!(pair.flows(way));
+    assert!(from.elapsed() >= DELAY, "it came before its time");
+    // Of an hour's delay nothing is left once it is lifted, for what is on its way neither.
+    pair.set(way, Condition::delayed(3_600_000.0));
+    assert!(pair.is_held(way, b"late") && pair.flows(way.other()));
+    pair.set(way, Condition::default());
+    let mut got = [0; 4];
+    pair.ends(way).1.read_exact(&mut got).expect("it arrives");
+    assert_eq!(&got, b"late");
+    assert!(pair.flows(way));
+}
+
+/// Bytes that differ from what was sent.
+fn changed(got: &[u8], sent: &[u8]) -> usize {
+    assert_eq!(got.len(), sent.len());
+    got.iter().zip(sent).filter(|(a, b)| a != b).count()
+}
+
+#[rstest]
+fn one_byte_of_a_chunk_is_garbled_in_its_direction(#[values(Way::There, Way::Back)] way: Way) {
+    let mut pair = Pair::new();
+    let exchange = |pair: &mut Pair, way: Way| {
+        let (from, to) = pair.ends(way);
+        from.write_all(b"0123456789").expect("it is taken");
+        let mut got = [0; 10];
+        to.read_exact(&mut got).expect("it arrives");
+        changed(&got, b"0123456789")
+    };
+    pair.set(way, Condition { garble: 1.0, ..Condition::default() });
+    // Ten bytes are one chunk.
+    assert_eq!((exchange(&mut pair, way), exchange(&mut pair, way.other())), (1, 0));
+    assert_eq!(pair.traffic(way).garbled, 1);
+    pair.set(way, Condition::default());
+    assert_eq!((exchange(&mut pair, way), exchange(&mut pair, way.other())), (0, 0));
+}
+
+#[test]
+fn links_that_are_dropped_leave_no_connection_and_no_port() {
+    let mut pair = Pair::new();
+    pair.set(Way::There, Condition::delayed(3_600_000.0));
+    assert!(pair.is_held(Way::There, b"never"));
+    drop(std::mem::replace(&mut pair.links, links()));
+    assert_eq!((ending(&mut pair.a), ending(&mut pair.b)), ("reset", "reset"));
+    assert_eq!(TcpStream::connect(pair.address).err().map(|e| e.kind()), Some(ErrorKind::ConnectionRefused));
+}
+
+/// `a` and `b` each have one socket; `a` sends to `to_b`, and `b` to what it is told.
+struct Posts {
+    links: Links,
+    a: UdpSocket,
+    b: UdpSocket,
+    to_a: SocketAddr,
+    to_b: SocketAddr,
+}
+
+impl Posts {
+    fn new() -> Self {
+        let links = links();
+        let socket = || {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+            socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            socket
+        };
+        let (a, b) = (socket(), socket());
+        let at = |s: &UdpSocket| s.local_addr().expect("an address");
+        let (to_b, to_a) = links.udp_pair("a", "b", "gossip", at(&a), at(&b)).expect("a link");
+        Posts { links, a, b, to_a, to_b }
+    }
+
+    fn set(&self, way: Way, condition: Condition) {
+        let (from, to) = way.names();
+        self.links.set(from, to, condition).expect("it is set");
+    }
+
+    fn send(&self, way: Way, n: u8) {
+        let sent = match way {
+            Way::There => self.a.send_to(&[n; 16], self.to_b),
+            Way::Back => self.b.send_to(&[n; 16], self.to_a),
+        };
+        assert_eq!(sent.expect("it is taken"), 16);
+    }
+
+    /// Sends numbers from 0 and tells what comes of them, in that order: until the relay has dealt with each, and as
+    /// many have come as it passed on.
+    fn exchange(&self, way: Way, count: u8) -> Vec<Vec<u8>> {
+        let (from, to) = way.names();
+        let before = self.links.traffic(from, to);
+        (0..count).for_each(|n| self.send(way, n));
+        let mut after = before;
+        until("the relay has dealt with all", || {
+            after = self.links.traffic(from, to);
+            let twice = after.duplicated - before.duplicated;
+            let dealt = after.messages - before.messages + after.lost - before.lost;
+            dealt == u64::from(count) + twice
+        });
+        assert_eq!(after.dropped, before.dropped);
+        let (receiver, source) = match way {
+            Way::There => (&self.b, self.to_a),
+            Way::Back => (&self.a, self.to_b),
+        };
+        let mut got = Vec::new();
+        for _ in 0..after.messages - before.messages {
+            let mut bytes = [0; 64];
+            let (len, sender) = receiver.recv_from(&mut bytes).expect("it arrives");
+            assert_eq!(sender, source, "a member is known by one address");
+            got.push(bytes[..len].to_vec());
+        }
+        receiver.set_nonblocking(true).expect("a mode");
+        assert!(receiver.recv(&mut [0; 64]).is_err(), "there is more than the relay says");
+        receiver.set_nonblocking(false).expect("a mode");
+        got
+    }
+}
+
+/// What a receiver saw of datagrams with the numbers from 0.
+#[derive(Debug, Default, PartialEq)]
+struct Seen {
+    lost: bool,
+    twice: bool,
+    out_of_order: bool,
+    garbled: bool,
+}
+
+fn seen(got: &[Vec<u8>], count: u8) -> Seen {
+    // Of a datagram of 16 equal bytes at most one is changed.
+    let number = |bytes: &Vec<u8>| if bytes[0] == bytes[1] { bytes[0] } else { bytes[2] };
+    let numbers: Vec<u8> = got.iter().map(number).collect();
+    for bytes in got {
+        assert_eq!(bytes.len(), 16);
+        assert!(changed(bytes, &[number(bytes); 16]) <= 1);
+    }
+    let times = |n: u8| numbers.iter().filter(|m| **m == n).count();
+    Seen {
+        lost: (0..count).any(|n| times(n) == 0),
+        twice: (0..count).any(|n| times(n) > 1),
+        out_of_order: numbers.windows(2).any(|w| w[0] > w[1]),
+        garbled: got.iter().any(|b| changed(b, &[number(b); 16]) == 1),
+    }
+}
+
+#[rstest]
+fn datagrams_suffer_what_was_asked_for_in_that_direction_alone(
+    #[values(
+        (Condition::cut(), Seen { lost: true, ..Seen::default() }),
+        (Condition::stall(), Seen { lost: true, ..Seen::default() }),
+        (Condition { lose: 0.5, ..Condition::default() }, Seen { lost: true, ..Seen::default() }),
+        (Condition { duplicate: 0.5, ..Condition::default() }, Seen { twice: true, ..Seen::default() }),
+        (Condition { reorder: 1.0, ..Condition::default() }, Seen { out_of_order: true, ..Seen::default() }),
+        (Condition { garble: 0.5, ..Condition::default() }, Seen { garbled: true, ..Seen::default() }),
+        (Condition::delayed(20.0), Seen::default()),
+        (Condition { bytes_per_s: Some(4_000), ..Condition::default() }, Seen::default())
+    )]
+    fault: (Condition, Seen),
+    #[values(Way::There, Way::Back)] way: Way,
+) {
+    const COUNT: u8 = 40;
+    let posts = Posts::new();
+    let (condition, expected) = fault;
+    let all_lost = condition.holds_all();
+    let nothing = |way| assert_eq!(seen(&posts.exchange(way, COUNT), COUNT), Seen::default());
+    nothing(way);
+    posts.set(way, condition);
+    let got = posts.exchange(way, COUNT);
+    assert_eq!(seen(&got, COUNT), expected);
+    assert_eq!(got.is_empty(), all_lost);
+    nothing(way.other());
+    posts.set(way, Condition::default());
+    nothing(way);
+}
+
+#[test]
+fn a_datagram_is_not_early_and_a_cut_takes_those_on_their_way() {
+    let posts = Posts::new();
+    posts.set(Way::There, Condition::delayed(50.0));
+    let from = Instant::now();
+    assert_eq!(posts.exchange(Way::There, 1), [[0; 16]]);
+    assert!(from.elapsed() >= Duration::from_millis(50), "it came before its time");
+    posts.set(Way::There, Condition::delayed(3_600_000.0));
+    // More than may be on their way: what is over is dropped, and the rest is lost to the cut.
+    until("some found no room", || {
+        posts.send(Way::There, 1);
+        posts.links.traffic("a", "b").dropped > 0
+    });
+    posts.set(Way::There, Condition::cut());
+    until("those on their way are lost", || posts.links.traffic("a", "b").lost == 1024);
+    posts.set(Way::There, Condition::default());
+    assert_eq!(posts.exchange(Way::There, 1), [[0; 16]]);
+}
+
+#[test]
+fn answers_to_datagrams_find_their_way_back_and_a_new_address_is_found() -> io::Result<()> {
+    let links = links();
+    let socket = || -> io::Result<UdpSocket> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        socket.set_read_timeout(Some(PATIENCE))?;
+        Ok(socket)
+    };
+    let (a, b, c) = (socket()?, socket()?, socket()?);
+    let to_b = links.udp("a", "b", "agent", b.local_addr()?)?;
+    assert_eq!(links.udp("a", "b", "agent", b.local_addr()?)?, to_b, "one link, one address");
+    let mut bytes = [0; 8];
+    for target in [&b, &c, &b] {
+        links.aim("b", "agent", target.local_addr()?)?;
+        a.send_to(b"ask", to_b)?;
+        let (len, source) = target.recv_from(&mut bytes)?;
+        assert_eq!((&bytes[..len], source == to_b), (&b"ask"[..], false));
+        target.send_to(b"answer", source)?;
+        let (len, source) = a.recv_from(&mut bytes)?;
+        assert_eq!((&bytes[..len], source), (&b"answer"[..], to_b));
+    }
+    links.shut("b", "agent")?;
+    a.send_to(b"lost", to_b)?;
+    until("nobody is there", || links.traffic("a", "b").dropped == 1);
+    Ok(())
+}
