Have the planners' test start its processes with the lab's fleet

Need: one place that starts processes for tests. They now end with a test that is killed, too: an ignored test is their guard (Program::of_test), for the root package has none of the lab's programs. Its waits are for events by name.

--- a/crates/lab/src/fleet/log.rs
+++ b/crates/lab/src/fleet/log.rs
@@ -68,6 +68,11 @@
         self.fields.get(field)?.as_u64()
     }
 
+    /// The place behind this line.
+    pub fn mark(&self) -> Mark {
+        Mark(self.number + 1)
+    }
+
     /// The address that the line tells: where somebody listens, in `listening`, `planning` and `side_port`.
     pub fn address(&self) -> Option<SocketAddr> {
         self.text("address")?.parse().ok()
--- a/crates/lab/tests/fleet_processes.rs
+++ b/crates/lab/tests/fleet_processes.rs
@@ -181,6 +181,7 @@
     assert_eq!((letter(pid), held_for(fleet.log(), "f2")), (Some('T'), None));
     // It ends all the same, and hears before that it was told to, once it goes on.
     assert_eq!(fleet.end(PATIENCE).expect("they end"), Vec::<String>::new());
+    assert_eq!(fleet.wait("f2", PATIENCE).expect("it is heard out").code(), Some(0));
     assert!(events(fleet.log(), "f2").contains(&"told".to_owned()));
 }
 
--- a/tests/planners.rs
+++ b/tests/planners.rs
@@ -1,15 +1,20 @@
 //! Planners and forwarders as processes on loopback: what planners find silent, what they refuse, how they end.
 //! The test is the nodes, discovery and the clients; every wait is for an event, with a generous bound.
 
+use lab::fleet::log::{Line, Log, Mark, Wanted};
+use lab::fleet::processes::{Processes, Spec};
+use lab::loopback::children::{guard::in_a_test, Program};
+use lab::loopback::Clock;
 use plan::frame::{self, Reader, Refused};
 use plan::message::{Hello, Message, Sight};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,72 +24,70 @@
 const FORWARDERS: usize = 3;
 const NODES: usize = 4;
 
-fn program() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
-    command.env_remove("NODE_CONFIG").env("RUST_LOG", "info");
-    command
+/// The program itself: no process of it outlives this test, however that ends.
+fn program() -> Program {
+    Program::of_test(Path::new(env!("CARGO_BIN_EXE_martenweir")), "guard").expect("the program")
 }
 
-fn file(name: &str, text: &str) -> PathBuf {
-    static FILES: AtomicUsize = AtomicUsize::new(0);
-    let n = FILES.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("martenweir-{}-{n}-{name}", std::process::id()));
-    std::fs::write(&path, text).expect("a file");
-    path
+/// Not a test of its own: what the processes are started by.
+#[test]
+#[ignore = "the guard of the other tests' processes"]
+fn guard() {
+    in_a_test();
 }
 
-/// A process with its log, killed when it is dropped.
-struct Process {
-    child: Child,
-    log: Receiver<String>,
-    told: Vec<String>,
-    address: SocketAddr,
+/// Planners and forwarders.
+struct Fleet {
+    processes: Processes,
+    /// Behind what was waited for last, by process.
+    heard: BTreeMap<String, Mark>,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl Fleet {
+    fn new() -> Self {
+        let processes = Processes::in_temporary(&Log::new(Clock::start(0))).expect("a fleet");
+        Fleet { processes, heard: BTreeMap::new() }
     }
-}
 
-impl Process {
-    fn start(command: &mut Command) -> Self {
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
-        let (from, (line, log)) = (BufReader::new(child.stderr.take().expect("its log")), channel());
-        thread::spawn(move || from.lines().map_while(Result::ok).all(|l| line.send(l).is_ok()));
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut process = Process { child, log, told: Vec::new(), address: nowhere };
-        let listening = process.log("listening on ");
-        let address = listening.split("listening on ").nth(1).and_then(|a| a.split(',').next());
-        process.address = address.and_then(|a| a.parse().ok()).expect("an address");
-        process
+    fn start(&mut self, name: &str, words: &[&OsStr], event: &str) -> SocketAddr {
+        let spec = Spec::new(name, &program()).variable("RUST_LOG", "info").arg("--log-format").arg("json");
+        let spec = match event {
+            // A subcommand's options come behind it.
+            "planning" => Spec { arguments: vec!["planner".into()], ..spec }.arg("--log-format").arg("json"),
+            _ => spec,
+        };
+        let spec = words.iter().fold(spec, |spec, word| spec.arg(word));
+        self.processes.start(spec).expect("it starts");
+        self.hear(name, Wanted::event(event)).address().expect("an address")
     }
 
-    fn planner(forwarders: usize) -> Self {
-        let conf = file("planner.conf", &format!("plannerport 0\nplanforwarders {forwarders}\n"));
-        Process::start(program().arg("planner").arg("--conf").arg(conf))
+    fn planner(&mut self, name: &str, forwarders: usize) -> SocketAddr {
+        let lines = format!("plannerport 0\nplanforwarders {forwarders}\n");
+        let conf = self.file(name, "planner.conf", &lines);
+        self.start(name, &["--conf".as_ref(), conf.as_ref()], "planning")
     }
 
-    /// Waits for a line of the log that holds this, behind those that were waited for before.
-    fn log(&mut self, text: &str) -> String {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left);
-            let line = line.unwrap_or_else(|_| panic!("no line with {text:?}: {:#?}", self.told));
-            self.told.push(line.clone());
-            if line.contains(text) {
-                return line;
-            }
-        }
+    /// What a process is configured with.
+    fn file(&self, process: &str, name: &str, text: &str) -> PathBuf {
+        let path = self.processes.settings(process).expect("a folder").join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
     }
 
-    fn terminate(mut self) {
-        let kill = Command::new("kill").arg(self.child.id().to_string()).status();
-        assert!(kill.expect("kill").success());
-        self.log("ended");
-        assert!(self.child.wait().expect("an end").success(), "{:#?}", self.told);
+    /// Waits for a line of a process, behind those that were waited for before.
+    fn hear(&mut self, name: &str, wanted: Wanted) -> Arc<Line> {
+        let since = self.heard.entry(name.to_owned()).or_default();
+        let line = self.processes.hear(name, *since, &wanted, PATIENCE);
+        let line = line.unwrap_or_else(|why| panic!("{why}"));
+        *since = line.mark();
+        line
+    }
+
+    fn terminate(&mut self, name: &str) {
+        self.processes.terminate(name).expect("it runs");
+        self.hear(name, Wanted::event("ended"));
+        let status = self.processes.wait(name, PATIENCE).expect("an end");
+        assert!(status.success(), "{name}: {status}");
     }
 }
 
@@ -152,7 +155,7 @@
     }
 }
 
-fn configuration(at: usize, nodes: &[SocketAddr], discovery: SocketAddr) -> PathBuf {
+fn configuration(at: usize, nodes: &[SocketAddr], discovery: SocketAddr) -> String {
     let text = std::fs::read_to_string("examples/config.json").expect("the configuration");
     let mut config: Value = serde_json::from_str(&text).expect("JSON");
     let member = |(i, address): (usize, &SocketAddr)| {
@@ -165,12 +168,13 @@
     config["known"]["members"] = nodes.iter().enumerate().map(member).collect();
     config["settings"]["balancers"] = FORWARDERS.into();
     config["settings"]["tenants"][0]["quotaPerS"] = 1e6.into();
-    file("forwarder.json", &config.to_string())
+    config.to_string()
 }
 
-fn show(planner: &Process, words: &[&str]) -> Output {
-    let command = program().args(["plan", "show", &planner.address.to_string()]).args(words).output();
-    command.expect("it runs")
+fn show(planner: SocketAddr, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
+    let command = command.args(["plan", "show", &planner.to_string()]).args(words).env_remove("NODE_CONFIG");
+    command.output().expect("it runs")
 }
 
 #[test]
@@ -183,23 +187,22 @@
         })
         .collect();
     let discovery = serve(discovery);
-    let mut planners = vec![Process::planner(FORWARDERS), Process::planner(FORWARDERS)];
-    let lines = planners.iter().map(|p| format!("planner {}\n", p.address)).collect::<String>();
-    let conf = file("forwarder.conf", &lines);
-    let mut forwarders: Vec<Process> = (0..FORWARDERS)
-        .map(|at| {
-            let config = configuration(at, &nodes, discovery);
-            Process::start(program().arg("--conf").arg(&conf).arg(config))
-        })
-        .collect();
-    let served = Arc::new(AtomicUsize::new(0));
-    for f in &forwarders {
-        let (address, served, over) = (f.address, served.clone(), over.clone());
-        thread::spawn(move || client(address, &served, &over));
+    let mut fleet = Fleet::new();
+    let planners = ["p0", "p1"].map(|name| fleet.planner(name, FORWARDERS));
+    let lines = planners.iter().map(|p| format!("planner {p}\n")).collect::<String>();
+    let names: Vec<String> = (0..FORWARDERS).map(|at| format!("f{at}")).collect();
+    let (served, mut clients) = (Arc::new(AtomicUsize::new(0)), Vec::new());
+    for (at, name) in names.iter().enumerate() {
+        let conf = fleet.file(name, "forwarder.conf", &lines);
+        let config = fleet.file(name, "forwarder.json", &configuration(at, &nodes, discovery));
+        let words = ["--conf".as_ref(), conf.as_ref(), config.as_ref()];
+        let address = fleet.start(name, &words, "listening");
+        let (served, over) = (served.clone(), over.clone());
+        clients.push(thread::spawn(move || client(address, &served, &over)));
     }
     let until = Instant::now() + PATIENCE;
     let shown = loop {
-        let shown: Value = serde_json::from_slice(&show(&planners[0], &["--json"]).stdout).expect("JSON");
+        let shown: Value = serde_json::from_slice(&show(planners[0], &["--json"]).stdout).expect("JSON");
         if shown["warm"] == true && shown["terms"].as_array().is_some_and(|t| t.len() == NODES) {
             break shown;
         }
@@ -210,17 +213,18 @@
     assert_eq!(shown["silent"], json!([]), "{shown:#}");
 
     silent.store(true, Ordering::SeqCst);
-    forwarders.iter_mut().for_each(|f| drop(f.log("node s-0 is avoided, as planners say")));
-    let table = String::from_utf8(show(&planners[0], &[]).stdout).expect("text");
+    let what = |event| Wanted::event(event).when(|l| l.text("what") == Some("node s-0"));
+    names.iter().for_each(|name| drop(fleet.hear(name, what("plan_avoids"))));
+    let table = String::from_utf8(show(planners[0], &[]).stdout).expect("text");
     assert!(table.contains("witnesses\n") && table.contains(" all "), "{table}");
 
     // The first to try the node hears it, and planners vouch for it to the others.
-    planners.pop().expect("the second").terminate();
+    fleet.terminate("p1");
     silent.store(false, Ordering::SeqCst);
-    forwarders.iter_mut().for_each(|f| drop(f.log("node s-0 is no longer avoided")));
+    names.iter().for_each(|name| drop(fleet.hear(name, what("plan_returns"))));
 
     // Without any planner they go on.
-    planners.pop().expect("the first").terminate();
+    fleet.terminate("p0");
     let before = served.load(Ordering::SeqCst);
     let until = Instant::now() + PATIENCE;
     while served.load(Ordering::SeqCst) < before + 200 {
@@ -228,7 +232,8 @@
         thread::sleep(Duration::from_millis(20));
     }
     over.store(true, Ordering::SeqCst);
-    forwarders.into_iter().for_each(Process::terminate);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    names.iter().for_each(|name| fleet.terminate(name));
 }
 
 /// What a planner tells a peer before it closes.
@@ -254,8 +259,9 @@
 
 #[test]
 fn a_peer_that_breaks_the_rules_is_told_why_and_cut_while_others_are_served() {
-    let planner = Process::planner(1);
-    let connect = || TcpStream::connect(planner.address).expect("a connection");
+    let mut fleet = Fleet::new();
+    let planner = fleet.planner("p0", 1);
+    let connect = || TcpStream::connect(planner).expect("a connection");
     let mut stranger = connect();
     stranger.write_all(&[0, 0, 0, 2, 9, 0]).expect("it is written");
     let why = last_words(stranger);
@@ -277,7 +283,7 @@
     flood.write_all(&bytes).expect("it is written");
     assert_eq!(last_words(flood), Refused::ByPeer("more messages than a peer may send".into()));
 
-    let shown = show(&planner, &["--json"]);
+    let shown = show(planner, &["--json"]);
     assert!(shown.status.success(), "{shown:?}");
-    planner.terminate();
+    fleet.terminate("p0");
 }
