Have the operators' planners example start its processes with the lab's fleet

Need: one place that starts processes. The example's log is one file by one clock, ports are those that processes tell, and it says whether the machine was the cause. A pause without end no longer overflows.

--- a/crates/lab/examples/operators_planners.rs
+++ b/crates/lab/examples/operators_planners.rs
@@ -6,18 +6,22 @@
 //!
 //! A forwarder avoids a silent node from its last request there that came within a second of another one of
 //! its: trials, which are seconds apart, are none. What its clients lose is told beside it. Processes are this
-//! very program, which is the proxy when it is called `proxy`; they end when this one does.
+//! very program, guarded; they end when this one does. Whether the machine was the cause is told as well.
 
+use lab::fleet::log::{Log, Mark, Wanted};
+use lab::fleet::machine::{Bound, Machine, Seen};
+use lab::fleet::processes::{Processes, Spec};
+use lab::loopback::children::{guard, Program};
+use lab::loopback::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde_json::json;
 use std::collections::BTreeMap;
-use std::ffi::OsString;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -39,8 +43,8 @@
 const KILLS: [f64; 2] = [0.4, 0.9];
 /// Two requests of a forwarder to a node within this time mean that it does not avoid it.
 const TOGETHER: f64 = 1.0;
-/// The first word of the command line where this program is to be the proxy.
-const PROXY: &str = "proxy";
+/// How long a process has until it listens.
+const READY: Duration = Duration::from_secs(10);
 
 /// What the stand-in nodes and clients see.
 struct Scene {
@@ -59,28 +63,6 @@
     }
 }
 
-/// A process that is killed when it is dropped; its standard input tells it that this one lives.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn start(words: &[&str], log: &Path) -> io::Result<Process> {
-    let mut command = Command::new(std::env::current_exe()?);
-    command.arg(PROXY).args(words).env_remove("NODE_CONFIG").env("RUST_LOG", "info");
-    command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(std::fs::File::create(log)?);
-    command.spawn().map(Process)
-}
-
-/// A port that nobody holds at this moment.
-fn free_port() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 fn line(from: &mut impl BufRead) -> io::Result<Option<String>> {
     let mut line = String::new();
     Ok((from.read_line(&mut line)? > 0).then(|| line.trim_end().to_owned()))
@@ -176,7 +158,7 @@
     Ok(())
 }
 
-fn config(at: usize, listen: SocketAddr, discovery: SocketAddr, nodes: &[SocketAddr]) -> String {
+fn config(at: usize, discovery: SocketAddr, nodes: &[SocketAddr]) -> String {
     let members: Vec<_> = nodes
         .iter()
         .enumerate()
@@ -188,7 +170,7 @@
     let class = json!({ "name": "lookup", "onTimeMs": 500.0, "hardLimitMs": 1000.0, "repeat": "retryable" });
     json!({
         "name": format!("f-{at}"),
-        "listen": listen.to_string(),
+        "listen": "127.0.0.1:0",
         "discovery": discovery.to_string(),
         "seed": format!("{at:x}"),
         "known": { "revision": 1, "complete": true, "members": members },
@@ -212,9 +194,24 @@
     lost: usize,
     /// Requests that reached silent nodes.
     reached: usize,
+    machine: Seen,
+}
+
+/// What is started, with the form of the log that the fleet reads.
+fn spec(name: &str, words: &[&str], conf: &Path) -> io::Result<Spec> {
+    let spec = words.iter().fold(Spec::new(name, &Program::own()?), |spec, word| spec.arg(word));
+    Ok(spec.arg("--conf").arg(conf).arg("--log-format").arg("json").variable("RUST_LOG", "info"))
 }
 
-fn play(dir: &Path, with_planners: bool, after: f64) -> io::Result<Told> {
+/// Where a process listens, once it does.
+fn listening(processes: &Processes, name: &str, event: &str) -> io::Result<SocketAddr> {
+    let line =
+        processes.hear(name, Mark::default(), &Wanted::event(event), READY).map_err(io::Error::other)?;
+    line.address().ok_or_else(|| io::Error::other(format!("{name} does not tell where it listens")))
+}
+
+fn play(processes: &Processes, with_planners: bool, after: f64) -> io::Result<Told> {
+    let machine = Machine::watch(Some(processes.roster()))?;
     let scene = Arc::new(Scene {
         from: Instant::now(),
         silent: AtomicBool::new(false),
@@ -229,35 +226,33 @@
         nodes.push(serve(move |socket| node(at, socket, &scene))?);
     }
     let discovery = serve(discovery)?;
-    let text = |path: &Path| path.to_string_lossy().into_owned();
-    let mut planners = Vec::new();
+    let settings = |name: &str, file: &str, text: &str| -> io::Result<PathBuf> {
+        let path = processes.settings(name).map_err(io::Error::other)?.join(file);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    };
+    let mut planners: Vec<String> = Vec::new();
     let mut lines = String::new();
     for at in 0..if with_planners { PLANNERS } else { 0 } {
-        let (conf, port) = (dir.join(format!("planner-{at}.conf")), free_port()?.port());
-        std::fs::write(&conf, format!("plannerport {port}\nplanforwarders {FORWARDERS}\n"))?;
-        let words = ["planner", "--conf", &text(&conf)];
-        planners.push(start(&words, &dir.join(format!("planner-{at}.log")))?);
-        let _ = writeln!(lines, "planner 127.0.0.1:{port}");
+        let name = format!("p{at}");
+        let text = format!("plannerport 0\nplanforwarders {FORWARDERS}\n");
+        let conf = settings(&name, "planner.conf", &text)?;
+        processes.start(spec(&name, &["planner"], &conf)?).map_err(io::Error::other)?;
+        let _ = writeln!(lines, "planner {}", listening(processes, &name, "planning")?);
+        planners.push(name);
     }
-    let conf = dir.join("forwarder.conf");
-    std::fs::write(&conf, lines)?;
     let mut forwarders = Vec::new();
     for at in 0..FORWARDERS {
-        let (listen, path) = (free_port()?, dir.join(format!("f-{at}.json")));
-        std::fs::write(&path, config(at, listen, discovery, &nodes))?;
-        let words = ["--conf", &text(&conf), &text(&path)];
-        forwarders.push((start(&words, &dir.join(format!("f-{at}-{with_planners}.log")))?, listen));
+        let name = format!("f{at}");
+        let conf = settings(&name, "forwarder.conf", &lines)?;
+        let config = settings(&name, "config.json", &config(at, discovery, &nodes))?;
+        forwarders.push(spec(&name, &[], &conf)?.arg(config));
     }
+    processes.start_many(forwarders).map_err(io::Error::other)?;
     let mut senders = Vec::new();
-    for (at, (_, listen)) in forwarders.iter().enumerate() {
-        let until = Instant::now() + Duration::from_secs(10);
-        while TcpStream::connect(listen).is_err() {
-            if Instant::now() > until {
-                return Err(io::Error::other(format!("forwarder {at} does not listen")));
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        let (listen, scene) = (*listen, scene.clone());
+    for at in 0..FORWARDERS {
+        let listen = listening(processes, &format!("f{at}"), "listening")?;
+        let scene = scene.clone();
         senders.push(thread::spawn(move || clients(at, listen, &scene)));
     }
     thread::sleep(Duration::from_secs_f64(BEFORE));
@@ -266,7 +261,9 @@
     scene.silent.store(true, Ordering::SeqCst);
     for kill in KILLS {
         thread::sleep(Duration::from_secs_f64((hang + kill - scene.now()).max(0.0)));
-        drop(planners.pop());
+        if let Some(planner) = planners.pop() {
+            processes.kill(&planner).map_err(io::Error::other)?;
+        }
     }
     thread::sleep(Duration::from_secs_f64((hang + after - scene.now()).max(0.0)));
     scene.over.store(true, Ordering::Relaxed);
@@ -274,7 +271,7 @@
     thread::sleep(Duration::from_millis(1500));
     let asked = scene.asked.load(Ordering::Relaxed) - asked;
     let served = scene.served.load(Ordering::Relaxed) - served;
-    drop((forwarders, planners));
+    let machine = machine.seen();
     if broken < FORWARDERS {
         return Err(io::Error::other(format!("{} forwarders lost their clients", FORWARDERS - broken)));
     }
@@ -289,7 +286,7 @@
     let mut avoided: Vec<f64> = (0..FORWARDERS).map(last).collect();
     avoided.sort_by(f64::total_cmp);
     let reached = arrivals.values().map(Vec::len).sum();
-    Ok(Told { avoided, asked, lost: asked.saturating_sub(served), reached })
+    Ok(Told { avoided, asked, lost: asked.saturating_sub(served), reached, machine })
 }
 
 fn tell(name: &str, told: &Told) {
@@ -299,15 +296,22 @@
     println!("{name}: median {median:.2} s, worst {worst:.2} s; each: {}", times.join(" "));
     let (asked, lost, reached) = (told.asked, told.lost, told.reached);
     println!("  of {asked} requests since, {reached} reached silent nodes and {lost} got no value");
+    println!("  {}", told.machine);
+    if let Some(why) = told.machine.void(&Bound::default()) {
+        println!("  {why}");
+    }
 }
 
 fn operators(after: f64) -> io::Result<()> {
     println!("{FORWARDERS} forwarders, {NODES} nodes, {SILENT} go silent; {RATE} requests a second each");
     for (name, planners) in [("three planners, killed after 0.4 and 0.9 s", true), ("no planners", false)] {
-        let dir = tempfile::tempdir()?;
-        let told = play(dir.path(), planners, after);
+        let log = Log::new(Clock::start(0));
+        let processes = Processes::in_temporary(&log)?;
+        let told = play(&processes, planners, after);
         if told.is_err() || std::env::var_os("KEEP_LOGS").is_some() {
-            eprintln!("logs are kept in {}", dir.keep().display());
+            let kept = tempfile::Builder::new().prefix("operators_planners-").suffix(".jsonl").tempfile()?;
+            log.write(kept.path())?;
+            eprintln!("the log is kept in {}", kept.into_temp_path().keep()?.display());
         }
         tell(name, &told?);
     }
@@ -315,16 +319,11 @@
 }
 
 fn main() -> ExitCode {
-    let words: Vec<OsString> = std::env::args_os().skip(1).collect();
-    if words.first().is_some_and(|w| w == PROXY) {
-        // Ends with the program that started it, however that ends.
-        thread::spawn(|| {
-            let _ = io::stdin().read(&mut [0]);
-            std::process::exit(1);
-        });
-        return martenweir::commands::main(words.into_iter().skip(1));
+    // Its processes are this same program, started by itself.
+    if let Some(ended) = guard::asked() {
+        return ended;
     }
-    let seconds = words.first().and_then(|w| w.to_str()?.parse().ok()).unwrap_or(AFTER);
+    let seconds = std::env::args().nth(1).and_then(|w| w.parse().ok()).unwrap_or(AFTER);
     match operators(seconds) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/lab/src/fleet/processes/keeper.rs
+++ b/crates/lab/src/fleet/processes/keeper.rs
@@ -18,6 +18,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// What is due later than this is not going to be.
+const NEVER: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
+
 /// Something that a caller has done here.
 pub(super) type Job = Box<dyn FnOnce(&mut Keeper) + Send>;
 
@@ -195,7 +198,7 @@
 
     fn at(&mut self, after: Duration, due: Due) {
         self.next += 1;
-        self.due.insert((Instant::now() + after, self.next), due);
+        self.due.insert((Instant::now() + after.min(NEVER), self.next), due);
     }
 
     fn carry_out(&mut self) {
@@ -352,7 +355,8 @@
         let (log, slot) = self.running(name)?;
         let (life, label) = (slot.life, slot.name.clone());
         let Some(running) = &mut slot.running else { return Ok(()) };
-        let new = how_long.map_or(Hold::UntilResumed, |how_long| Hold::Until(Instant::now() + how_long));
+        let new =
+            how_long.map_or(Hold::UntilResumed, |how_long| Hold::Until(Instant::now() + how_long.min(NEVER)));
         let hold = match (running.held, new) {
             (Some(Hold::UntilResumed), _) => Hold::UntilResumed,
             (Some(Hold::Until(old)), Hold::Until(new)) => Hold::Until(old.max(new)),
@@ -443,11 +447,9 @@
         how: Restart,
     ) -> Result<(), ProcessError> {
         names.iter().try_for_each(|name| self.slot(name).map(drop))?;
-        let now = Instant::now();
         for (step, name) in names.into_iter().enumerate() {
-            self.next += 1;
-            let at = now + every * u32::try_from(step).unwrap_or(u32::MAX);
-            self.due.insert((at, self.next), Due::Restart(name, how.clone()));
+            let after = every.saturating_mul(u32::try_from(step).unwrap_or(u32::MAX));
+            self.at(after, Due::Restart(name, how.clone()));
         }
         self.carry_out();
         Ok(())
--- a/crates/lab/tests/fleet_processes.rs
+++ b/crates/lab/tests/fleet_processes.rs
@@ -398,7 +398,7 @@
         up(&fleet, name, 1);
     }
     fleet.stop("f1").expect("it runs");
-    fleet.pause("f2", Duration::from_secs(600)).expect("it runs");
+    fleet.pause("f2", Duration::MAX).expect("it runs");
     let pids: Vec<String> = fleet.running().values().map(u32::to_string).collect();
     println!("LAB {} {}", fleet.root().display(), pids.join(" "));
     let _ = io::stdin().read(&mut [0]);
@@ -556,6 +556,19 @@
     assert!(late.fields["void"] == true && late.number("us") >= Some(500_000), "{late}");
 }
 
+#[test]
+#[ignore = "by hand: it takes every core for two seconds"]
+fn fifty_busy_processes_on_few_cores_void_a_run() {
+    let fleet = fleet();
+    let machine = Machine::watch(Some(fleet.roster())).expect("it watches");
+    let specs = (0..50).map(|n| script(&format!("f{n}"), "while :; do :; done")).collect();
+    let took = fleet.start_many(specs).expect("they start");
+    std::thread::sleep(Duration::from_secs(2));
+    let seen = machine.seen();
+    println!("started within {took:?}; {seen}");
+    assert!(seen.void(&Bound::default()).is_some(), "{seen}");
+}
+
 #[test]
 fn a_machine_voids_a_run_by_any_of_its_figures_and_by_nothing_else() {
     let seen = Seen { beats: 1, p99_us: 20_000, worst_us: 1_000_000, cores: 8, ..Seen::default() };
