Give the lab's and the cost ledger's replies the word of a node without a place

The workspace did not build since a reply says whether a node has no place for another connection: only the root package had been built. Nodes of the virtual host refuse by closing, so they never say it.

--- a/crates/cost/src/request.rs
+++ b/crates/cost/src/request.rs
@@ -179,7 +179,7 @@
         Ok(Some((resp::Reply::Array(items), _))) => items.into_iter().next().flatten().unwrap_or_default(),
         _ => Vec::new(),
     };
-    Reply { verdict: Verdict::Served, value, note: 1, report: vec![0.1], keep: true }
+    Reply { verdict: Verdict::Served, value, note: 1, report: vec![0.1], keep: true, no_place: false }
 }
 
 #[inline(never)]
--- a/crates/lab/src/virtual_host/engine.rs
+++ b/crates/lab/src/virtual_host/engine.rs
@@ -615,8 +615,14 @@
         l.attempt = l.attempt.filter(|a| *a != attempt);
         let (proxy, connection, node) = (l.proxy, l.connection, l.node);
         let Some(a) = self.attempts.remove(attempt) else { return };
-        let mut reply =
-            Reply { verdict: Verdict::Served, value: Vec::new(), note: 0, report: Vec::new(), keep: true };
+        let mut reply = Reply {
+            verdict: Verdict::Served,
+            value: Vec::new(),
+            note: 0,
+            report: Vec::new(),
+            keep: true,
+            no_place: false,
+        };
         match answer {
             Answer::Value => {
                 reply.value = a.ask.of.0.to_be_bytes().to_vec();
