--- a/crates/lab/tests/shows.rs
+++ b/crates/lab/tests/shows.rs
@@ -7,6 +7,7 @@
 use lab::virtual_host::{run, Real, Start, Subject, Subjects};
 use std::collections::BTreeSet;
 use std::sync::Mutex;
+use world::scenario::Scenario;
 use world::outcome::Run;
 use world::scenario::{Fault, FaultKind, Scenario};
 
@@ -15,7 +16,7 @@
 
 /// A tenth of the fleet and its traffic, of which each proxy and node sees as much as in the full one.
 fn herd() -> Scenario {
-    let mut s = file::parse(HERD, "mass_herd").expect("a right scenario");
+    let mut s: Scenario = file::parse(HERD, "mass_herd").expect("a right scenario");
     (s.proxies.count, s.nodes[0].count, s.clients.rate_per_s) = (30, 20, 450.0);
     s.clients.popularity.keys = 1_200;
     s.seconds = 22.0;
@@ -27,7 +28,7 @@
 /// The first ninety seconds, in which all nodes are replaced, with the day's other faults left out: a proxy keeps what
 /// it keeps by then.
 fn soak() -> Scenario {
-    let mut s = file::parse(SOAK, "soak").expect("a right scenario");
+    let mut s: Scenario = file::parse(SOAK, "soak").expect("a right scenario");
     (s.seconds, s.sizes_every_s, s.clients.rate_per_s) = (90.0, Some(1.0), 60.0);
     s.clients.popularity.keys = 200;
     s.clients.popularity.drift_per_s = 0.0;
