--- a/crates/lab/examples/planners.rs
+++ b/crates/lab/examples/planners.rs
@@ -40,7 +40,7 @@
 }
 
 fn play(path: &Path, seeds: u64, kept: Kept) -> Result<(), String> {
-    let mut scenario = file::read(path).map_err(|e| e.to_string())?;
+    let mut scenario: Scenario = file::read(path).map_err(|e| e.to_string())?;
     scenario.proxies.count = PROXIES;
     let seeds: Vec<u64> = (1..=seeds).collect();
     let threads = std::num::NonZeroUsize::new(4).unwrap_or(std::num::NonZeroUsize::MIN);
--- a/crates/lab/tests/shows.rs
+++ b/crates/lab/tests/shows.rs
@@ -7,7 +7,6 @@
 use lab::virtual_host::{run, Real, Start, Subject, Subjects};
 use std::collections::BTreeSet;
 use std::sync::Mutex;
-use world::scenario::Scenario;
 use world::outcome::Run;
 use world::scenario::{Fault, FaultKind, Scenario};
 
