Set a link's reset before it dials, and know which openings a cut held

Two races, seen in 2 of 30 and 1 of 8 runs of the check: a target that accepted before the relay knew saw an orderly end instead of a reset; an opener that had left was dialled for when the link was healed before its task had a turn.

--- a/crates/lab/src/fleet/links/owner.rs
+++ b/crates/lab/src/fleet/links/owner.rs
@@ -253,7 +253,9 @@
         self.count += 1;
         let (id, tell) = (self.count, self.tell.clone());
         let (there, back) = (relay.there.clone(), relay.back.clone());
-        let work = tcp::connection(socket, relay.target.clone(), there, back, self.room.clone());
+        // Known now: the link may be healed before the task has its first turn.
+        let held = there.holds_all() || back.holds_all();
+        let work = tcp::connection(socket, held, relay.target.clone(), there, back, self.room.clone());
         let task = self.executor.spawn(async move {
             work.await;
             let _ = tell.send(Heard::Ended(id)).await;
--- a/crates/lab/src/fleet/links/tcp.rs
+++ b/crates/lab/src/fleet/links/tcp.rs
@@ -10,7 +10,7 @@
 use event_listener::Event;
 use futures_lite::future;
 use rustix::event::{PollFd, PollFlags, Timespec};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
@@ -36,6 +36,24 @@
     let _ = s.set_send_buffer_size(KERNEL);
 }
 
+/// As [`Async::connect`], but prepared from the start: a target may have accepted it before it is known here to be up.
+async fn dial(target: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
+    let socket = TcpStream::from(socket);
+    prepare(&socket);
+    socket.set_nonblocking(true)?;
+    match SockRef::from(&socket).connect(&target.into()) {
+        Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => return Err(e),
+        _ => {}
+    }
+    let socket = Async::new(socket)?;
+    socket.writable().await?;
+    match socket.get_ref().take_error()? {
+        Some(e) => Err(e),
+        None => Ok(socket),
+    }
+}
+
 /// Whether the other side has ended its direction or all of it, even if there are bytes before that.
 fn has_left(socket: &TcpStream) -> bool {
     let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
@@ -43,24 +61,25 @@
     rustix::event::poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0)
 }
 
-/// Carries an accepted connection to its end. `there` is the direction of its opener.
+/// Carries an accepted connection to its end. `there` is the direction of its opener; `held`, whether a handshake
+/// could not have passed when it was accepted.
 pub async fn connection(
     near: Async<TcpStream>,
+    held: bool,
     target: Rc<Cell<SocketAddr>>,
     there: Rc<Way>,
     back: Rc<Way>,
     room: Rc<Room>,
 ) {
-    if !comes_up(&near, &there, &back, &room).await {
+    if !comes_up(&near, held, &there, &back, &room).await {
         return;
     }
-    let Ok(far) = Async::<TcpStream>::connect(target.get()).await else {
+    let Ok(far) = dial(target.get()).await else {
         // The refusal has its way to go, as an answer would.
         back.pass(&room).await;
         there.count(|t| t.refused += 1);
         return;
     };
-    prepare(far.get_ref());
     let ends = Ends::default();
     let near = End { socket: &near, dead: &ends.near_dead, done: &ends.near_done };
     let far = End { socket: &far, dead: &ends.far_dead, done: &ends.far_done };
@@ -77,8 +96,7 @@
 }
 
 /// A handshake needs both directions. Whether it is done; not if the opener has left while it was held.
-async fn comes_up(near: &Async<TcpStream>, there: &Way, back: &Way, room: &Room) -> bool {
-    let mut held = false;
+async fn comes_up(near: &Async<TcpStream>, mut held: bool, there: &Way, back: &Way, room: &Room) -> bool {
     loop {
         if there.holds_all() || back.holds_all() {
             held = true;
