--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -95,9 +95,19 @@
 
 #[test]
 fn check_reads_every_file_and_all_scenarios_of_the_project_are_right() {
-    let folder = std::fs::read_dir(root().join("scenarios")).expect("the scenarios");
-    let files: Vec<String> =
-        folder.map(|entry| entry.expect("an entry").path().to_string_lossy().into_owned()).collect();
+    let files = |folder: &str| -> Vec<String> {
+        let entries = std::fs::read_dir(root().join(folder)).expect("the scenarios");
+        let files = entries.map(|entry| entry.expect("an entry").path()).filter(|path| path.is_file());
+        files.map(|path| path.to_string_lossy().into_owned()).collect()
+    };
+    let schedules = files("scenarios/fleet");
+    assert!(schedules.len() >= 9, "{schedules:?}");
+    let mut args = vec!["fleet", "check"];
+    args.extend(schedules.iter().map(String::as_str));
+    let output = lab(&args);
+    assert_eq!((output.status.code(), err(&output)), (Some(0), String::new()));
+
+    let files = files("scenarios");
     assert!(files.len() >= 9, "{files:?}");
     let mut args = vec!["check"];
     args.extend(files.iter().map(String::as_str));
