Move the tests of 69 files into test files beside them

Need: tests live in test files; 72 files under src and crates/*/src had them in modules of their own text. Change: 69 modules of 3,132 lines stand in tests.rs in the folder of their module, otherwise as they were.

--- /dev/null
+++ b/crates/lab/src/fleet/links/tests.rs
@@ -0,0 +1,19 @@
+use super::*;
+use std::time::Duration;
+
+#[test]
+fn a_pause_of_the_relays_thread_is_noticed_and_voids_a_run() {
+    let links = Links::start(1).expect("a thread");
+    let pause = Duration::from_micros(VOID_WORST_US) + Duration::from_millis(50);
+    links.ask(|reply| Order::Sleep(pause, reply)).expect("it slept");
+    let late = links.lateness();
+    assert!(late.void && late.worst_us > VOID_WORST_US, "{late:?}");
+}
+
+#[test]
+fn relays_that_have_ended_say_so() {
+    let links = Links::start(1).expect("a thread");
+    assert_eq!(links.set("a", "b", Condition::cut()).ok(), Some(()));
+    links.orders.close();
+    assert!(links.set("a", "b", Condition::cut()).is_err() && links.lateness().void);
+}
--- /dev/null
+++ b/crates/lab/src/fleet/processes/damage/tests.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+#[test]
+fn damage_is_what_was_asked_for_and_stays_within_the_folder() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (folder, file) = (dir.path().join("f0"), PathBuf::from("state/journal"));
+    fs::create_dir_all(folder.join("state")).expect("a folder");
+    fs::write(dir.path().join("other"), "whole").expect("a file");
+    fs::write(folder.join(&file), "0123456789").expect("a file");
+    std::os::unix::fs::symlink("../other", folder.join("link")).expect("a link");
+    let read = || fs::read(folder.join(&file)).expect("a file");
+    Damage::ByteChanged { file: file.clone(), at: 3 }.befall(&folder).expect("changed");
+    assert_eq!(read(), b"012\xcc456789");
+    Damage::CutShort { file: file.clone(), to: 4 }.befall(&folder).expect("cut");
+    assert_eq!(read(), b"012\xcc");
+    // The same seed, the same damage.
+    let drawn = Damage::AnyByteChanged { seed: 7 };
+    drawn.befall(&folder).expect("drawn");
+    assert_ne!(read(), b"012\xcc");
+    drawn.befall(&folder).expect("drawn again");
+    assert_eq!(read(), b"012\xcc");
+    Damage::AnyCutShort { seed: 7 }.befall(&folder).expect("drawn");
+    assert!(read().len() < 4);
+    for file in ["../other", "link", "state", "state/../../other", "none"] {
+        let damage = Damage::CutShort { file: file.into(), to: 0 };
+        damage.befall(&folder).expect_err("it is refused");
+    }
+    Damage::CutShort { file, to: 400 }.befall(&folder).expect_err("it is not longer");
+    assert_eq!(fs::read(dir.path().join("other")).expect("a file"), b"whole");
+}
--- a/crates/lab/src/loopback/fleet.rs
+++ b/crates/lab/src/loopback/fleet.rs
@@ -233,40 +233,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Write;
-    use std::os::unix::fs::PermissionsExt;
-
-    #[test]
-    fn descriptors_that_nobody_gives_back_are_told() {
-        let dir = tempfile::tempdir().expect("a folder");
-        let path = dir.path().join("proxy");
-        let mut file = std::fs::File::create(&path).expect("a file");
-        let opens: String = (3..10).map(|n| format!(" {n}</dev/null")).collect();
-        write!(file, "#!/bin/sh\nexec{opens}\nexec sleep 600\n").expect("written");
-        file.set_permissions(std::fs::Permissions::from_mode(0o755)).expect("it can be run");
-        drop(file);
-        let program = Program::unguarded(&path).expect("a program");
-        let limits = Limits { memory_kb: 1 << 20, descriptors: 64, file_bytes: None };
-        let (notices, _) = async_channel::unbounded();
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        let executor = LocalExecutor::new();
-        let mut fleet = Fleet::new(&program, limits, dir.path(), &[address], notices);
-        fleet.start(ProxyNo(0), "{}", &executor).expect("it starts");
-        let running = fleet.seats[0].running.as_mut().expect("it runs");
-        // The shell has opened them all, and closed its script, once it has become the other program.
-        let name = format!("/proc/{}/comm", running.child.pid());
-        while std::fs::read_to_string(&name).expect("it runs").trim() != "sleep" {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        // Whoever runs the tests may hand down some more.
-        let open = running.child.usage().expect("it runs").descriptors;
-        assert!(open >= 10, "{open}");
-        running.at_start = Some(open - LEAKED);
-        fleet.look_for_leaks().expect("no more than may be");
-        fleet.seats[0].running.as_mut().expect("it runs").at_start = Some(open - LEAKED - 1);
-        let told = fleet.look_for_leaks().expect_err("a leak").to_string();
-        assert!(told.starts_with(&format!("n0: leaks descriptors: {open} are open")), "{told}");
-    }
-}
+mod tests;
--- a/crates/lab/src/loopback/settings.rs
+++ b/crates/lab/src/loopback/settings.rs
@@ -157,35 +157,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::virtual_host::site;
-    use martenweir::settings;
-    use world::scenario::{ClientClass, NodeGroup};
-
-    /// What the program reads of a configuration is what the virtual world hands to its core, field for field.
-    #[test]
-    fn both_hosts_tell_a_proxy_the_same() {
-        let mut odd = Scenario::default();
-        odd.clients.classes.push(ClientClass {
-            name: "once".into(),
-            repeat: Repeat::Unsafe,
-            ..ClientClass::default()
-        });
-        odd.nodes.push(NodeGroup { kind: "old".into(), idle_close_s: 7.0, ..NodeGroup::default() });
-        odd.proxies.probes = false;
-        odd.proxies.max_retry_after_ms = 0.0;
-        odd.rules.fall_multiple = 2.5;
-        for scenario in [Scenario::default(), odd] {
-            let world = World::new(&scenario, 1, 0).expect("a world");
-            for proxy in [ProxyNo(0), ProxyNo(1)] {
-                let told = settings::site(&super::settings(&world, proxy)).expect("settings");
-                let virtual_ones = site::settings(&world, proxy);
-                assert_eq!(told.settings, virtual_ones);
-                let names: Vec<&str> = told.classes.iter().map(String::as_str).collect();
-                assert_eq!(names[..2], ["lookup", "instruct"]);
-                assert_eq!(told.columns, ["eps", "util"]);
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/world/src/fleet/draw.rs
+++ b/crates/world/src/fleet/draw.rs
@@ -171,48 +171,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn whatever_is_drawn_is_a_valid_and_fair_schedule_and_each_usual_kind_comes_up() {
-        let mut seen = std::collections::BTreeSet::new();
-        let mut small = Schedule { seconds: 4.0, ..Schedule::default() };
-        small.fleet.halls.truncate(1);
-        (small.fleet.planners, small.fleet.forwarders, small.fleet.nodes) = (0, 1, 1);
-        let mut drawn = 0;
-        for base in [Schedule::default(), small] {
-            for position in 0..600 {
-                let (schedule, seed) = draw(&base, &Bounds::default(), 9, position);
-                assert_eq!(schedule.validate(), Ok(()), "{position}: {:?}", schedule.faults);
-                assert!(schedule.faults.len() <= 3 && is_fair(&schedule));
-                assert!(schedule.plan(seed).over <= seconds(base.seconds * 3.0));
-                drawn += usize::from(!schedule.faults.is_empty());
-                seen.extend(schedule.faults.iter().map(|f| f.kind));
-            }
-        }
-        assert_eq!(seen.len(), Bounds::default().kinds.len(), "{seen:?}");
-        assert!(drawn > 900, "{drawn}");
-    }
-
-    #[test]
-    fn a_draw_depends_on_its_seed_and_position_alone() {
-        let (base, bounds) = (Schedule::default(), Bounds::default());
-        assert_eq!(draw(&base, &bounds, 1, 5), draw(&base, &bounds, 1, 5));
-        assert_ne!(draw(&base, &bounds, 1, 5), draw(&base, &bounds, 1, 6));
-        assert_ne!(draw(&base, &bounds, 1, 5), draw(&base, &bounds, 2, 5));
-    }
-
-    #[test]
-    fn what_would_undo_another_fault_or_change_a_value_is_not_fair() {
-        let who = |word: &str, f: Fault| Fault { who: word.parse().ok(), ..f };
-        let with = |faults: Vec<Fault>| Schedule { faults, ..Schedule::default() };
-        let pause = who("f0", Fault::new(Kind::Pause, 1.0, 3.0));
-        let restart = |name: &str| who(name, Fault::new(Kind::Restart, 2.0, 0.0));
-        assert!(!is_fair(&with(vec![pause.clone(), restart("f0")])));
-        assert!(is_fair(&with(vec![pause, restart("f1")])));
-        let garble =
-            Fault { between: "halls".parse().ok(), rate: Some(0.1), ..Fault::new(Kind::Garble, 1.0, 1.0) };
-        assert!(!is_fair(&with(vec![garble])));
-    }
-}
+mod tests;
--- a/src/door/budget.rs
+++ b/src/door/budget.rs
@@ -62,46 +62,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #[test]
-        fn what_is_open_never_passes_the_descriptors_whoever_takes_one_more(
-            descriptors in 64usize..600,
-            side_ports in 0usize..3,
-            steps in proptest::collection::vec((0usize..3, proptest::bool::weighted(0.7)), 0..2000),
-        ) {
-            let budget = Budget::new(descriptors, side_ports);
-            let [mut nodes, mut main, mut side] = [0usize; 3];
-            for (who, more) in steps {
-                let (open, most) = match who {
-                    0 => (&mut nodes, budget.nodes([main, side])),
-                    1 => (&mut main, budget.of(Side::Main, nodes, side)),
-                    _ if side_ports == 0 => continue,
-                    _ => (&mut side, budget.of(Side::Port, nodes, main)),
-                };
-                match more {
-                    true if *open < most => *open += 1,
-                    true => {}
-                    false => *open = open.saturating_sub(1),
-                }
-                prop_assert!(nodes + main + side + RESERVE <= descriptors);
-                // What each has for sure is never taken by the others.
-                prop_assert!(budget.nodes([main, side]) >= budget.sure);
-                prop_assert!(budget.downstreams(nodes) >= budget.sure);
-                prop_assert!(side_ports == 0 || budget.of(Side::Port, nodes, main) >= 2);
-            }
-        }
-    }
-
-    #[test]
-    fn alone_each_may_have_all_that_is_not_the_others_for_sure() {
-        let budget = Budget::new(1024, 1);
-        assert_eq!((budget.nodes([0, 0]), budget.downstreams(0)), (596, 596));
-        assert_eq!((budget.nodes([590, 6]), budget.downstreams(596)), (396, 396));
-        assert_eq!((budget.of(Side::Port, 0, 0), budget.of(Side::Port, 0, 100)), (596, 149));
-        assert_eq!((budget.of(Side::Main, 0, 0), budget.of(Side::Main, 0, 100)), (572, 496));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/memcached/logins/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+use rstest::rstest;
+use std::fs::Permissions;
+
+fn site() -> Site {
+    Site { tenants: vec!["nordurbanki".into(), "eyjabanki".into()], ..Site::default() }
+}
+
+#[rstest]
+#[case(b"\0anna\0se cret ", Some("nordurbanki"))]
+#[case(b"anna\0anna\0se cret ", Some("nordurbanki"))]
+#[case(b"\0ben\0x", Some("eyjabanki"))]
+#[case::wrong(b"\0anna\0se cret", None)]
+#[case::of_another(b"\0ben\0se cret ", None)]
+#[case::for_another(b"ben\0anna\0se cret ", None)]
+#[case::unknown(b"\0eve\0x", None)]
+#[case::no_message(b"anna", None)]
+fn only_a_user_with_its_own_password_comes_in(#[case] message: &[u8], #[case] tenant: Option<&str>) {
+    let logins = read("# staff\n\nanna nordurbanki se cret \nben eyjabanki x\n", &site()).expect("sound");
+    assert_eq!(logins.login(message).map(|t| t.name.to_string()), tenant.map(str::to_owned));
+    assert_eq!(logins.told().map(|(n, _)| n), tenant.is_none().then_some(1));
+    assert_eq!(logins.told(), None);
+}
+
+/// Who types the password where the user belongs must not find it in the log.
+#[test]
+fn only_known_users_are_named() {
+    let logins = read("anna nordurbanki x", &site()).expect("sound");
+    assert!(logins.login(b"\0hunter2\0anna").is_none());
+    assert_eq!(logins.told(), Some((1, None)));
+    assert!(logins.login(b"\0anna\0hunter2").is_none());
+    assert_eq!(logins.told(), Some((1, Some("anna".into()))));
+}
+
+#[rstest]
+#[case("anna nordurbanki", ":1: USER TENANT PASSWORD is wanted")]
+#[case("#\nanna nobody secret", ":2: an unknown tenant")]
+#[case("anna nordurbanki secret\nanna nordurbanki secret", ":2: a user twice")]
+#[case("anna nordurbanki ", ":1: a user and a password")]
+fn a_line_that_cannot_be_used_is_told_without_its_password(#[case] text: &str, #[case] told: &str) {
+    let (line, what) = read(text, &site()).expect_err("it cannot be used");
+    let what = format!(":{line}: {what}");
+    assert!(what.contains(told) && !what.contains("secret"), "{what}");
+}
+
+#[rstest]
+#[case(0o600, true)]
+#[case(0o400, true)]
+#[case(0o640, false)]
+#[case(0o602, false)]
+fn a_file_that_others_may_read_or_write_is_not_used(#[case] mode: u32, #[case] used: bool) {
+    let path = std::env::temp_dir().join(format!("martenweir-logins-{}-{mode:o}", std::process::id()));
+    std::fs::write(&path, "anna nordurbanki secret\n").expect("a file");
+    std::fs::set_permissions(&path, Permissions::from_mode(mode)).expect("a mode");
+    let loaded = load(&path, &site());
+    std::fs::remove_file(&path).expect("the file goes");
+    assert_eq!(loaded.is_ok(), used, "{:?}", loaded.err());
+}
