Call discovery again within what counts as told, however many calls have failed

Cause: in src/core/watch.rs, ended(), the bound by what counts as told was only for a watch that had spoken. After a call that failed the back-off alone held: up to 8.3 s to the next call for a proxy alone, up to four times 20 ms times the fleet for a large one (24 s for 300), and 4.5 s more where the call was given up. Where an agent has the lists (discovery automatic) the pauses were parts of the grace already, and do not change.

Now the next call is made within 5.6 s of the last word or of the call before.

--- a/src/core/watch.rs
+++ b/src/core/watch.rs
@@ -12,9 +12,13 @@
 const SILENCE: Micros = 3_000_000;
 /// A call may wait its turn at discovery; with no answer for this long it is dead too.
 const UNANSWERED: Micros = 4_500_000;
-/// What a dead watch misses counts as told this long after its last word (the protocol's figure). By then discovery is
-/// called again, so that the rule's time for a drain is left for the answer, and for one more call.
+/// What a dead watch misses counts as told this long after its last word (the protocol's figure), and what came right
+/// after a call that failed, was refused or given up this long after that call. Before then discovery is called again.
 const KNOWN: Micros = 6_000_000;
+/// What is left of that for the answer, in us: where nodes that start cold are told there is no grace beside it.
+const ANSWERS: Micros = 400_000;
+/// What the calls of a fleet that keep to that are spread over, each from its last one, in us: they are spread already.
+const APART: Micros = 800_000;
 /// Where lists are pushed, what the agent beside the proxy has counts as told at once, whether or not a watch stands. A
 /// call there costs nobody else anything, and is answered at once. So of the time that the rule leaves for a drain, one
 /// part goes by before a call without an answer is given up and one before the next call; two are left for its answer.
@@ -28,7 +32,8 @@
 /// What the first calls after a common end are spread over, for each proxy of the fleet, in us: together they
 /// call discovery fifty times a second, whatever their number.
 const SPREAD: Micros = 20_000;
-/// The most that the doublings make of it, in us, for fleets up to a hundred; for larger ones four times the first.
+/// The most that the doublings make of it, in us, for fleets up to a hundred; for larger ones four times the first. It
+/// moves the next call towards the end of what [`KNOWN`] leaves, never past it.
 const LONGEST: Micros = 8_000_000;
 
 #[derive(Debug)]
@@ -75,12 +80,17 @@
             return at;
         }
         let over = backoff(self.spread, self.failed, LONGEST.max(4 * self.spread));
-        let known = if self.stands { self.heard + KNOWN - now } else { Micros::MAX };
+        // Discovery may have changed, and be within reach, right after the last word or the call that came to nothing.
+        let most = self.most.unwrap_or(self.heard + KNOWN - ANSWERS - now);
         // At the least there is something to spread over.
-        let over = over.min((self.most.unwrap_or(known) - self.least).max(self.least));
+        let most = (most - self.least).max(self.least);
+        // Where the back-off wants more than that, its mean is kept as far as it goes. First calls are together, and
+        // use all there is.
+        let late = if self.failed == 0 || self.most.is_some() { 0 } else { over - most };
+        let from = late.clamp(0, (most - APART).max(0));
         self.failed += 1;
         self.rng = mix(self.rng.wrapping_add(1));
-        let at = now + self.least + (over as f64 * unit(self.rng)) as Micros;
+        let at = now + self.least + from + ((over.min(most) - from) as f64 * unit(self.rng)) as Micros;
         self.due = Some(at);
         at
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -408,6 +408,36 @@
     }
 }
 
+/// Guards the term on what counts as told where one service is asked: whatever failed before, a change counts 6 s after
+/// discovery had it and could be reached, which may be right after a call of which nothing came. A large fleet's calls
+/// were put off by up to 24 s after the third failure, a lone proxy's by 8 s.
+#[test]
+fn discovery_is_called_again_within_what_counts_as_told_however_many_calls_have_failed() {
+    let watched = |e: &Effect| matches!(e, Effect::Watch { .. });
+    for (routers, swallowed) in [1, 16, 100, 300].into_iter().flat_map(|n| [(n, 0), (n, 1), (n, 2)]) {
+        let settings = Settings { classes: vec![Class::default()], routers, ..Settings::default() };
+        let settings = Settings { must_subscribe: true, drain_grace: 500 * MS, period: 5 * MS, ..settings };
+        let mut p = Proxy::of(settings);
+        let mut called = p.now;
+        for call in 0..12 {
+            // None is swallowed, each, or every second one; the others are refused at once.
+            if swallowed == 0 || swallowed == 2 && call % 2 == 0 {
+                p.pass(5 * MS);
+                p.input(Input::WatchEnded);
+            }
+            while !has(&p.pass(5 * MS), watched) {
+                let since = p.now - called;
+                assert!(since < 5_700 * MS, "{routers} proxies: call {call}, none for {since} us");
+            }
+            called = p.now;
+        }
+        // It answers at last: the drain of that moment is kept within what counts as told and the grace.
+        p.input(Input::Cluster(Some(list(Phase::Draining, 2))));
+        let effects = p.ask(1_000 * MS);
+        assert!(!written(&effects) && dialled(&effects).is_none());
+    }
+}
+
 /// Guards against a watch that speaks again after it was given up, and falls silent once more.
 #[test]
 fn a_watch_that_speaks_again_as_it_is_given_up_is_watched_over_as_before() {
