See the end of a client that sent much ahead, and read paused ones at a planned end

A client that has sent more than the longest command ahead (97 KB) and leaves: its end lies behind bytes that were not read, so its streams went on, and further attempts could begin more than 0.1 s after the close. Read ahead up to 256 KB now, in the budget of bytes as before; beyond that the line stays open.

A client that sends much at once and goes before it is read, as one that waited behind a full gate: after the first 16 KB its commands were asked and the others had their turn before the rest and the end were read. From 16 KB on no command is taken while more can be read, the end too, up to those 256 KB.

SIGTERM with a downstream paused for want of bytes, a command unread: it was cut where bytes stayed short till 0.25 s before the kill. Once all are told to leave, and what comes is answered at once, nobody is paused any more.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -96,6 +96,11 @@
         Socket { stream, gate: gate.clone(), side }
     }
 
+    /// Something can be read: bytes, or the end.
+    pub fn is_readable(&self) -> bool {
+        !matches!(self.stream.get_ref().peek(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Nothing has come that was not read; a peer that has closed says nothing more.
     pub fn is_quiet(&self) -> bool {
         !matches!(self.stream.get_ref().peek(&mut [0; 1]), Ok(1..))
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -18,6 +18,9 @@
 
 /// Bytes that a downstream may leave unread before no more commands are taken.
 const UNREAD: usize = 256 * 1024;
+/// Bytes that are read ahead of the commands that may be taken, a command's length at the least: behind them is the end
+/// of who has left, and nothing else tells of it. The budget of bytes bounds what all hold together.
+const AHEAD: usize = 256 * 1024;
 /// Bytes that a downstream may still send once it is told that no more is read.
 const FAREWELL: usize = 256 * 1024;
 /// Bytes held for a downstream from which on the owner hears of each change at once.
@@ -218,6 +221,7 @@
 impl Downstream {
     async fn run(&mut self) {
         let (orders, progress) = (self.link.orders.clone(), self.link.progress.clone());
+        let ahead = self.protocol.longest().max(AHEAD);
         let mut greedy = false;
         loop {
             while let Ok(order) = orders.try_recv() {
@@ -226,7 +230,11 @@
             // First what makes room: nothing wakes it later for commands that wait where the answers before
             // them are silent.
             self.flush();
-            self.commands().await;
+            // Behind much that came at once there may be the end of who has sent it and left: that is seen first.
+            let much = (READ..ahead).contains(&self.input.len()) && !progress.paused.get();
+            if !(much && self.link.socket.is_readable()) {
+                self.commands().await;
+            }
             self.flush();
             let unread = self.written < self.output.len();
             let idle = !unread && self.answers.is_empty();
@@ -254,9 +262,7 @@
             if std::mem::take(&mut greedy) {
                 future::yield_now().await;
             }
-            // What comes while no command may be taken waits here, a command's length of it: behind it is the
-            // end of who has left.
-            let reads = self.input.len() < self.protocol.longest() && !progress.paused.get();
+            let reads = self.input.len() < ahead && !progress.paused.get();
             let mut writer = &**self.link.socket;
             let writes = unread && !(self.leaving && !quiet && reads);
             let write = async {
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -40,7 +40,7 @@
     /// connection; those of [`Parsed::Asks`] take the places from there on.
     fn take(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)>;
 
-    /// The most bytes of a command: as many are read ahead, and no more.
+    /// The most bytes of a command: as many are read ahead at the least.
     fn longest(&self) -> usize {
         resp::COMMAND
     }
--- a/src/owner/downstreams.rs
+++ b/src/owner/downstreams.rs
@@ -123,10 +123,10 @@
         }
     }
 
-    /// Whether one is to be read.
+    /// Whether one is to be read. Who was told to leave is read for good: what it has sent has to be answered.
     pub(super) fn pause(&self, id: DownstreamId, paused: bool) {
         if let Some(one) = self.open.get(&id) {
-            if one.progress.pause(paused) {
+            if one.progress.pause(paused && !one.leaving) {
                 let _ = one.orders.try_send(Order::Look);
             }
         }
@@ -139,12 +139,15 @@
         }
     }
 
-    /// Tells all to leave, each of them once.
+    /// Tells all to leave, each of them once, and reads those that were not read for want of bytes.
     pub(super) fn leave(&mut self) {
         for one in self.open.values_mut() {
             one.finishing = true;
             if !std::mem::replace(&mut one.leaving, true) {
                 let _ = one.orders.try_send(Order::Leave);
+                if one.progress.is_paused() && one.progress.pause(false) {
+                    let _ = one.orders.try_send(Order::Look);
+                }
             }
         }
     }
@@ -157,3 +160,6 @@
         watcher.map(Downstream::finish).is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -80,6 +80,56 @@
     }
 }
 
+/// Guards the term on clients that have gone: one that sends many commands at once and goes, before any of them was
+/// read. Its end lies behind them, so no command is taken before that is seen.
+#[test]
+fn who_sends_much_at_once_and_goes_before_it_is_read_has_no_command_taken() {
+    for commands in [1_200, 5_000, 15_000] {
+        let executor = LocalExecutor::new();
+        let gate = Rc::new(Gate::default());
+        let (mut peer, socket, progress, _orders) = downstream(&executor, &gate);
+        peer.set_nonblocking(true).expect("a socket");
+        peer.write_all(&b"*1\r\n$4\r\nhere\r\n".repeat(commands)).expect("the kernel takes all of it");
+        drop(peer);
+        async_io::block_on(executor.run(async {
+            let late = Instant::now() + Duration::from_secs(20);
+            while Rc::strong_count(&socket) > 1 {
+                assert!(Instant::now() < late, "its end is not seen behind {commands} commands");
+                yield_now().await;
+            }
+        }));
+        assert_eq!(progress.look().local, 0, "of {commands} commands");
+    }
+}
+
+/// Who sends on and stays is answered, however much comes at once: what has come is taken once as much is here as may be,
+/// or nothing more waits, also where that ends with a whole read.
+#[rstest]
+fn who_sends_much_at_once_and_stays_is_answered(#[values(1_024, 5_000, 60_000)] commands: usize) {
+    let executor = LocalExecutor::new();
+    let gate = Rc::new(Gate::default());
+    let (peer, _socket, progress, _orders) = downstream(&executor, &gate);
+    let command = b"*1\r\n$6\r\nanswer\r\n";
+    assert_eq!(16 * 1024 % command.len(), 0, "so that reads end with a command");
+    let all = command.repeat(commands);
+    let mut sender = peer.try_clone().expect("a socket");
+    let sends = std::thread::spawn(move || sender.write_all(&all).expect("sent"));
+    let reads = std::thread::spawn(move || {
+        let mut got = vec![0; commands * 6];
+        (&peer).read_exact(&mut got).expect("an answer to each");
+        got == b"answer".repeat(commands)
+    });
+    async_io::block_on(executor.run(async {
+        let late = Instant::now() + Duration::from_secs(20);
+        while !reads.is_finished() {
+            assert!(Instant::now() < late, "{} of {commands} are answered", progress.look().local);
+            yield_now().await;
+        }
+    }));
+    sends.join().expect("all is sent");
+    assert!(reads.join().expect("all is read"), "in their order");
+}
+
 /// A command that waits in the kernel is bytes to the door, is not read while its downstream is paused, and
 /// is answered before the downstream closes that was told to finish.
 #[rstest]
