Begin no further attempt that could not be answered, and hold the time told by tests

A node that answers the miss in the last millisecond led to an attempt at the origin that ran out of time within a tick: src/core/mod.rs, begin(), asked only whether its time was over, and place() dialled for it. A further attempt with less than a tick left is not begun now, nor dialled for; a first one not with less than the millisecond that is the least that can be told.

Failed before: tests/core.rs a_miss_in_the_last_moment_leads_to_no_attempt_at_ the_origin (991 ms of 1,000, begun). Held before, and held by tests now: after SIGTERM an attempt that waited for its connection, one made later and one of a client that comes later tell the shorter time; an origin dialled 100 or 240 ms late is told what is left then.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -353,6 +353,8 @@
 const SWEEP: Micros = 500_000;
 /// What [`Outcome::note`] says of a miss.
 const MISS: u32 = 2;
+/// The least time that an attempt can tell its node, in us: times are told in whole ms, and never more than is left.
+const LEAST_TOLD: Micros = 1_000;
 /// How long after its downstream's patience a stream without an answer is failed here, whatever the module does.
 const OVERDUE: Micros = 30_000;
 
@@ -908,7 +910,7 @@
     fn place(&mut self, now: Micros, id: UpstreamId) {
         let Some(u) = self.upstream.get(&id) else { return };
         let (server, sent, begin_by) = (u.server, u.sent, u.begin_by);
-        if !self.is_wanted(u) {
+        if !self.is_wanted(u) || self.is_vain(now, u) {
             return self.end(now, id, Verdict::Moot, None);
         }
         if let Some(c) = self.take(now, server) {
@@ -971,12 +973,20 @@
         begin_by.is_some_and(|by| by <= now + self.settings.period)
     }
 
+    /// Whether an attempt has too little time left for an answer: less than can be told to a node, and for a further
+    /// one, which the module may make at the last moment, less than a tick.
+    fn is_vain(&self, now: Micros, u: &UpstreamRequest) -> bool {
+        let further = u.stream.is_some_and(|(_, attempt)| attempt > 0);
+        let least = if further { self.settings.period.max(LEAST_TOLD) } else { LEAST_TOLD };
+        u.expires - now < least
+    }
+
     /// Right before the first byte: the request may have waited, so whether anybody waits for it, its time and its
     /// node are looked at again. Nothing new goes to a node that is not ready.
     fn begin(&mut self, now: Micros, c: ConnectionId, id: UpstreamId) {
         let Some(u) = self.upstream.get(&id) else { return };
         let (server, ready) = (u.server, self.pool.is_ready(u.server));
-        let over = u.expires <= now || self.is_past(now, u.begin_by) || !self.is_wanted(u);
+        let over = self.is_vain(now, u) || self.is_past(now, u.begin_by) || !self.is_wanted(u);
         if over || !ready {
             let verdict = if ready { Verdict::Moot } else { Verdict::ConnectFailed };
             self.end(now, id, verdict, None);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -953,7 +953,6 @@
 /// fetch, its answer is there by then, and none that comes later has more time.
 #[test]
 fn whatever_is_open_when_the_proxy_ends_has_its_answer_by_then() {
-    let miss = || Reply { verdict: Verdict::Miss, value: Vec::new(), ..served() };
     let mut p = aside(1_000_000 * MS);
     let cache = dialled(&p.ask_for(Key(7), 60_000 * MS)).expect("a dial");
     p.input(Input::Connected(cache));
@@ -975,3 +974,85 @@
     assert_eq!((answered(&effects), p.core.open_streams()), (5, 0));
     assert_eq!(p.core.counters.overdue, 0, "the module has an answer to each");
 }
+
+/// The time that the attempt written now tells its node.
+fn told(effects: &[Effect]) -> Option<Micros> {
+    effects.iter().find_map(|e| match e {
+        Effect::Write { job: Job::Stream { patience, .. }, .. } => Some(*patience),
+        _ => None,
+    })
+}
+
+fn miss() -> Reply {
+    Reply { verdict: Verdict::Miss, value: Vec::new(), ..served() }
+}
+
+/// Guards the term on the time told, at a planned end: the client's own time is longer than what the signal leaves, and an
+/// attempt that waited for its connection then, or is made later, tells the shorter one.
+#[test]
+fn after_the_signal_what_begins_later_is_told_the_shorter_time() {
+    let mut p = aside(1_000_000 * MS);
+    let cache = dialled(&p.ask(60_000 * MS)).expect("a dial");
+    p.pass(20 * MS);
+    let ends = p.now + 300 * MS;
+    p.input(Input::Ends(ends));
+    p.pass(30 * MS);
+    let first = told(&p.input(Input::Connected(cache))).expect("it waited for the connection");
+    assert_eq!(first, ends - 5 * MS - p.now, "a tick less than what is left");
+    p.pass(50 * MS);
+    let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+    p.pass(20 * MS);
+    assert_eq!(told(&p.input(Input::Connected(origin))), Some(ends - 5 * MS - p.now), "a further one");
+    // One that comes after the signal, with an hour to wait.
+    p.pass(20 * MS);
+    let asked = p.ask_for(Key(8), 3_600_000 * MS);
+    assert_eq!(told(&asked), Some(ends - 5 * MS - p.now));
+    assert!(told(&asked) < Some(first));
+}
+
+/// Guards against an attempt at the origin that could not be answered: a node answers the miss in the last moment of its
+/// request, which is refused then, be a connection to the origin up or not.
+#[test]
+fn a_miss_in_the_last_moment_leads_to_no_attempt_at_the_origin() {
+    // The deadline of a second's patience is a tick before its end.
+    for (after, goes) in [(900, true), (990, true), (991, false), (994, false), (995, false), (999, false)] {
+        for up in [false, true] {
+            let mut p = aside(1_000_000 * MS);
+            let cache = dialled(&p.ask(1_000 * MS)).expect("a dial");
+            p.input(Input::Connected(cache));
+            if up {
+                let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+                p.input(Input::Connected(origin));
+                p.input(Input::Replied(origin, served()));
+                p.pass(SETTLED);
+                assert!(written(&p.ask_for(Key(8), 1_000 * MS)));
+            }
+            p.now += after * MS;
+            let effects = p.input(Input::Replied(cache, miss()));
+            let begins = written(&effects) || dialled(&effects).is_some();
+            assert_eq!(begins, goes, "{after} ms, up: {up}");
+            if !goes {
+                // Within the tick that is the client's still.
+                assert_eq!(answered(&effects) + answered(&p.pass(5 * MS)), 1, "{after} ms, up: {up}");
+            }
+            if goes && up {
+                assert_eq!(told(&effects), Some((995 - after) * MS));
+            }
+            assert_eq!(p.core.counters.unconnected, 0, "and nobody is blamed");
+        }
+    }
+}
+
+/// An origin connection that comes up late: what is told is what is left then.
+#[test]
+fn an_origin_dialled_late_is_told_what_is_left_then() {
+    for late in [0, 100, 240] {
+        let mut p = aside(1_000_000 * MS);
+        let cache = dialled(&p.ask(1_000 * MS)).expect("a dial");
+        p.input(Input::Connected(cache));
+        p.pass(100 * MS);
+        let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+        p.pass(late * MS);
+        assert_eq!(told(&p.input(Input::Connected(origin))), Some((895 - late) * MS), "{late} ms late");
+    }
+}
