Count streams left unanswered, and spells in which all is turned away

The log had neither: streams whose downstream the door closed were among those that left, and a spell of refusals did not show in sums.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use survey::{Marks, Survey};
+use survey::{Marks, Spell, Survey};
 use watch::Watch;
 use wheel::Wheel;
 
@@ -322,6 +322,10 @@
     /// Of those that left, the ones that waited: nothing was out just then, or its last byte was not.
     pub left_unsent: u64,
     pub overdue: u64,
+    /// Never answered: their downstream was closed here, or the proxy ended, with them open.
+    pub unanswered: u64,
+    /// Spells of 4 s and longer in which all that came, 15 streams at the least, was turned away with no attempt.
+    pub refused_all: u64,
     pub upstream: u64,
     pub probes: u64,
     pub dials: u64,
@@ -370,6 +374,7 @@
     pool: Pool,
     /// What is known of each node for those who watch.
     marks: Marks,
+    spell: Spell,
     /// What the module has yet to hear.
     events: VecDeque<Event>,
     effects: Vec<Effect>,
@@ -402,6 +407,7 @@
             upstream: Numbers::default(),
             pool: Pool::new(most_connections, &settings),
             marks: Marks::default(),
+            spell: Spell::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
             left: BTreeMap::new(),
@@ -469,8 +475,13 @@
 
     /// Whether a downstream has a stream without its answer.
     pub fn busy(&self, downstream: DownstreamId) -> bool {
+        self.open_of(downstream) > 0
+    }
+
+    /// How many streams without their answer a downstream has.
+    pub fn open_of(&self, downstream: DownstreamId) -> usize {
         let from = (downstream, RequestId(0));
-        self.by_downstream.range(from..).next().is_some_and(|(d, _)| *d == downstream)
+        self.by_downstream.range(from..).take_while(|(d, _)| *d == downstream).count()
     }
 
     /// What there is to see now.
@@ -846,6 +857,12 @@
             Answer::Failed | Answer::Late | Answer::Taken => (Ended::Failed, &mut self.counters.failed),
         };
         *counter += 1;
+        match ended {
+            Ended::Refused | Ended::Failed => {
+                self.counters.refused_all += u64::from(self.spell.turned_away(now));
+            }
+            Ended::Served | Ended::Left => {}
+        }
         self.record(now, stream, ended);
         let (downstream, place) = (stream.downstream, stream.place);
         self.effects.push(Effect::Answer { downstream, place, answer });
@@ -995,7 +1012,10 @@
         let Some(u) = self.upstream.get_mut(&id) else { return };
         u.connection = Some(c);
         let job = match &u.message {
-            Some(m) => Job::Stream { message: m.clone(), patience: u.expires - now },
+            Some(m) => {
+                self.spell.over();
+                Job::Stream { message: m.clone(), patience: u.expires - now }
+            }
             None => Job::Probe,
         };
         self.pool.busy(c, id);
--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -37,6 +37,35 @@
     }
 }
 
+/// So many streams, and so long a time in us, in which a proxy turns all of them away count as a spell of it: the
+/// figures of the standing test.
+const SPELL: (u64, Micros) = (15, 4_000_000);
+
+/// A time in which all that came was turned away.
+#[derive(Default)]
+pub(super) struct Spell {
+    since: Micros,
+    streams: u64,
+    counted: bool,
+}
+
+impl Spell {
+    /// An attempt begins: it is over.
+    pub fn over(&mut self) {
+        self.streams = 0;
+    }
+
+    /// A stream was refused, or failed. Whether the spell is one that counts from now on.
+    pub fn turned_away(&mut self, now: Micros) -> bool {
+        if self.streams == 0 {
+            (self.since, self.counted) = (now, false);
+        }
+        self.streams += 1;
+        let counts = self.streams >= SPELL.0 && now - self.since >= SPELL.1;
+        counts && !std::mem::replace(&mut self.counted, true)
+    }
+}
+
 /// Upstream requests, by how they ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ends {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -356,6 +356,7 @@
 
     fn close(&mut self, id: DownstreamId, why: Why) {
         self.door.gone(id, why);
+        self.core.counters.unanswered += self.core.open_of(id) as u64;
         self.drop_downstream(id);
     }
 
@@ -473,6 +474,7 @@
         let over = ending.over(now, none_open && self.ports.are_closed());
         if over {
             let streams = self.core.open_streams();
+            self.core.counters.unanswered += streams as u64;
             self.side.tell_refused(now, true);
             self.side.tell_logins(now, true);
             report::figures(&self.core, &self.door);
--- a/src/owner/report.rs
+++ b/src/owner/report.rs
@@ -95,7 +95,7 @@
 }
 
 /// What a whole fleet's lines have to be added up for: what nodes said, what cold ones, the ledger and discovery were
-/// asked, and why streams were refused. Since the start.
+/// asked, why streams were refused, and how often all of them were or had no answer. Since the start.
 fn upstream(core: &Core) {
     let c = core.counters;
     info!(
@@ -111,11 +111,14 @@
         refused_attempts = c.refused_attempts,
         refused_origin = c.refused_origin,
         refused_full = c.refused_full,
+        refused_all = c.refused_all,
+        unanswered = c.unanswered,
         discovery_calls = c.calls,
         discovery_ended = c.watches_ended,
         discovery_lists = c.lists,
         "upstream: missed {} turned away {} errors {} moot {}; to cold nodes {}; fetched {}, past full nodes {}; \
-         refused: unsent {} attempts {} origin {} full {}; discovery: calls {} ended {} lists {}",
+         refused: unsent {} attempts {} origin {} full {}, all for 4 s {}; unanswered {}; \
+         discovery: calls {} ended {} lists {}",
         c.missed,
         c.turned_away,
         c.errors,
@@ -127,6 +130,8 @@
         c.refused_attempts,
         c.refused_origin,
         c.refused_full,
+        c.refused_all,
+        c.unanswered,
         c.calls,
         c.watches_ended,
         c.lists,
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -248,6 +248,7 @@
         (&upstream["spilled"], &upstream["cold"], &upstream["refused_origin"]),
         (&0.into(), &0.into(), &0.into())
     );
+    assert_eq!((&upstream["unanswered"], &upstream["refused_all"]), (&0.into(), &0.into()));
     assert!(upstream["discovery_calls"].as_u64() >= Some(1), "{upstream}");
     assert_eq!((&find("ended")["streams"], &find("ended")["level"]), (&0.into(), &"INFO".into()));
     let in_text = |o: &Value| {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1056,3 +1056,37 @@
         assert_eq!(told(&p.input(Input::Connected(origin))), Some((895 - late) * MS), "{late} ms late");
     }
 }
+
+/// What the log counts as the standing test does: a proxy that turns away all that it gets, 15 streams at the least, for 4 s
+/// on end, with no attempt in between; each such spell once.
+#[test]
+fn a_spell_in_which_all_is_turned_away_is_counted_once() {
+    let spells = |streams: u64, span: Micros, attempt: bool| {
+        let mut p = Proxy::new();
+        for _ in 0..2 {
+            p.input(Input::Cluster(Some(list(Phase::Draining, 2))));
+            for n in 0..streams {
+                p.pass(span / (streams as Micros - 1) / (5 * MS) * (5 * MS));
+                assert_eq!(answered(&p.ask(1_000 * MS)), 1, "no node: it is refused at once");
+                if attempt && n == streams / 2 {
+                    p.input(Input::Cluster(Some(list(Phase::Ready, 3))));
+                    let c = dialled(&p.ask_for(Key(8), 1_000 * MS)).expect("a dial");
+                    assert!(written(&p.input(Input::Connected(c))));
+                    p.input(Input::Replied(c, served()));
+                    p.input(Input::Cluster(Some(list(Phase::Draining, 4))));
+                }
+            }
+            // An attempt ends the spell.
+            p.input(Input::Cluster(Some(list(Phase::Ready, 5))));
+            let c = dialled(&p.ask_for(Key(9), 1_000 * MS)).expect("a dial");
+            assert!(written(&p.input(Input::Connected(c))));
+            p.input(Input::Replied(c, served()));
+        }
+        p.core.counters.refused_all
+    };
+    assert_eq!(spells(15, 4_200 * MS, false), 2);
+    assert_eq!(spells(60, 30_000 * MS, false), 2, "one spell, however long");
+    assert_eq!(spells(14, 6_500 * MS, false), 0, "too few");
+    assert_eq!(spells(60, 3_900 * MS, false), 0, "too short");
+    assert_eq!(spells(30, 6_000 * MS, true), 0, "with an attempt in between");
+}
