--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use survey::{Marks, Survey};
+use survey::{Marks, Spell, Survey};
 use watch::Watch;
 use wheel::Wheel;
 
@@ -322,6 +322,10 @@
     /// Of those that left, the ones that waited: nothing was out just then, or its last byte was not.
     pub left_unsent: u64,
     pub overdue: u64,
+    /// Never answered: their downstream was closed here, or the proxy ended, with them open.
+    pub unanswered: u64,
+    /// Spells of 4 s and longer in which all that came, 15 streams at the least, was turned away with no attempt.
+    pub refused_all: u64,
     pub upstream: u64,
     pub probes: u64,
     pub dials: u64,
@@ -353,6 +357,8 @@
 const SWEEP: Micros = 500_000;
 /// What [`Outcome::note`] says of a miss.
 const MISS: u32 = 2;
+/// The least time that an attempt can tell its node, in us: times are told in whole ms, and never more than is left.
+const LEAST_TOLD: Micros = 1_000;
 /// How long after its downstream's patience a stream without an answer is failed here, whatever the module does.
 const OVERDUE: Micros = 30_000;
 
@@ -368,6 +374,7 @@
     pool: Pool,
     /// What is known of each node for those who watch.
     marks: Marks,
+    spell: Spell,
     /// What the module has yet to hear.
     events: VecDeque<Event>,
     effects: Vec<Effect>,
@@ -400,6 +407,7 @@
             upstream: Numbers::default(),
             pool: Pool::new(most_connections, &settings),
             marks: Marks::default(),
+            spell: Spell::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
             left: BTreeMap::new(),
@@ -467,8 +475,13 @@
 
     /// Whether a downstream has a stream without its answer.
     pub fn busy(&self, downstream: DownstreamId) -> bool {
+        self.open_of(downstream) > 0
+    }
+
+    /// How many streams without their answer a downstream has.
+    pub fn open_of(&self, downstream: DownstreamId) -> usize {
         let from = (downstream, RequestId(0));
-        self.by_downstream.range(from..).next().is_some_and(|(d, _)| *d == downstream)
+        self.by_downstream.range(from..).take_while(|(d, _)| *d == downstream).count()
     }
 
     /// What there is to see now.
@@ -844,6 +857,12 @@
             Answer::Failed | Answer::Late | Answer::Taken => (Ended::Failed, &mut self.counters.failed),
         };
         *counter += 1;
+        match ended {
+            Ended::Refused | Ended::Failed => {
+                self.counters.refused_all += u64::from(self.spell.turned_away(now));
+            }
+            Ended::Served | Ended::Left => {}
+        }
         self.record(now, stream, ended);
         let (downstream, place) = (stream.downstream, stream.place);
         self.effects.push(Effect::Answer { downstream, place, answer });
@@ -908,7 +927,7 @@
     fn place(&mut self, now: Micros, id: UpstreamId) {
         let Some(u) = self.upstream.get(&id) else { return };
         let (server, sent, begin_by) = (u.server, u.sent, u.begin_by);
-        if !self.is_wanted(u) {
+        if !self.is_wanted(u) || self.is_vain(now, u) {
             return self.end(now, id, Verdict::Moot, None);
         }
         if let Some(c) = self.take(now, server) {
@@ -971,12 +990,20 @@
         begin_by.is_some_and(|by| by <= now + self.settings.period)
     }
 
+    /// Whether an attempt has too little time left for an answer: less than can be told to a node, and for a further
+    /// one, which the module may make at the last moment, less than a tick.
+    fn is_vain(&self, now: Micros, u: &UpstreamRequest) -> bool {
+        let further = u.stream.is_some_and(|(_, attempt)| attempt > 0);
+        let least = if further { self.settings.period.max(LEAST_TOLD) } else { LEAST_TOLD };
+        u.expires - now < least
+    }
+
     /// Right before the first byte: the request may have waited, so whether anybody waits for it, its time and its
     /// node are looked at again. Nothing new goes to a node that is not ready.
     fn begin(&mut self, now: Micros, c: ConnectionId, id: UpstreamId) {
         let Some(u) = self.upstream.get(&id) else { return };
         let (server, ready) = (u.server, self.pool.is_ready(u.server));
-        let over = u.expires <= now || self.is_past(now, u.begin_by) || !self.is_wanted(u);
+        let over = self.is_vain(now, u) || self.is_past(now, u.begin_by) || !self.is_wanted(u);
         if over || !ready {
             let verdict = if ready { Verdict::Moot } else { Verdict::ConnectFailed };
             self.end(now, id, verdict, None);
@@ -985,7 +1012,10 @@
         let Some(u) = self.upstream.get_mut(&id) else { return };
         u.connection = Some(c);
         let job = match &u.message {
-            Some(m) => Job::Stream { message: m.clone(), patience: u.expires - now },
+            Some(m) => {
+                self.spell.over();
+                Job::Stream { message: m.clone(), patience: u.expires - now }
+            }
             None => Job::Probe,
         };
         self.pool.busy(c, id);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -408,6 +408,36 @@
     }
 }
 
+/// Guards the term on what counts as told where one service is asked: whatever failed before, a change counts 6 s after
+/// discovery had it and could be reached, which may be right after a call of which nothing came. A large fleet's calls
+/// were put off by up to 24 s after the third failure, a lone proxy's by 8 s.
+#[test]
+fn discovery_is_called_again_within_what_counts_as_told_however_many_calls_have_failed() {
+    let watched = |e: &Effect| matches!(e, Effect::Watch { .. });
+    for (routers, swallowed) in [1, 16, 100, 300].into_iter().flat_map(|n| [(n, 0), (n, 1), (n, 2)]) {
+        let settings = Settings { classes: vec![Class::default()], routers, ..Settings::default() };
+        let settings = Settings { must_subscribe: true, drain_grace: 500 * MS, period: 5 * MS, ..settings };
+        let mut p = Proxy::of(settings);
+        let mut called = p.now;
+        for call in 0..12 {
+            // None is swallowed, each, or every second one; the others are refused at once.
+            if swallowed == 0 || swallowed == 2 && call % 2 == 0 {
+                p.pass(5 * MS);
+                p.input(Input::WatchEnded);
+            }
+            while !has(&p.pass(5 * MS), watched) {
+                let since = p.now - called;
+                assert!(since < 5_700 * MS, "{routers} proxies: call {call}, none for {since} us");
+            }
+            called = p.now;
+        }
+        // It answers at last: the drain of that moment is kept within what counts as told and the grace.
+        p.input(Input::Cluster(Some(list(Phase::Draining, 2))));
+        let effects = p.ask(1_000 * MS);
+        assert!(!written(&effects) && dialled(&effects).is_none());
+    }
+}
+
 /// Guards against a watch that speaks again after it was given up, and falls silent once more.
 #[test]
 fn a_watch_that_speaks_again_as_it_is_given_up_is_watched_over_as_before() {
@@ -923,7 +953,6 @@
 /// fetch, its answer is there by then, and none that comes later has more time.
 #[test]
 fn whatever_is_open_when_the_proxy_ends_has_its_answer_by_then() {
-    let miss = || Reply { verdict: Verdict::Miss, value: Vec::new(), ..served() };
     let mut p = aside(1_000_000 * MS);
     let cache = dialled(&p.ask_for(Key(7), 60_000 * MS)).expect("a dial");
     p.input(Input::Connected(cache));
@@ -945,3 +974,119 @@
     assert_eq!((answered(&effects), p.core.open_streams()), (5, 0));
     assert_eq!(p.core.counters.overdue, 0, "the module has an answer to each");
 }
+
+/// The time that the attempt written now tells its node.
+fn told(effects: &[Effect]) -> Option<Micros> {
+    effects.iter().find_map(|e| match e {
+        Effect::Write { job: Job::Stream { patience, .. }, .. } => Some(*patience),
+        _ => None,
+    })
+}
+
+fn miss() -> Reply {
+    Reply { verdict: Verdict::Miss, value: Vec::new(), ..served() }
+}
+
+/// Guards the term on the time told, at a planned end: the client's own time is longer than what the signal leaves, and an
+/// attempt that waited for its connection then, or is made later, tells the shorter one.
+#[test]
+fn after_the_signal_what_begins_later_is_told_the_shorter_time() {
+    let mut p = aside(1_000_000 * MS);
+    let cache = dialled(&p.ask(60_000 * MS)).expect("a dial");
+    p.pass(20 * MS);
+    let ends = p.now + 300 * MS;
+    p.input(Input::Ends(ends));
+    p.pass(30 * MS);
+    let first = told(&p.input(Input::Connected(cache))).expect("it waited for the connection");
+    assert_eq!(first, ends - 5 * MS - p.now, "a tick less than what is left");
+    p.pass(50 * MS);
+    let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+    p.pass(20 * MS);
+    assert_eq!(told(&p.input(Input::Connected(origin))), Some(ends - 5 * MS - p.now), "a further one");
+    // One that comes after the signal, with an hour to wait.
+    p.pass(20 * MS);
+    let asked = p.ask_for(Key(8), 3_600_000 * MS);
+    assert_eq!(told(&asked), Some(ends - 5 * MS - p.now));
+    assert!(told(&asked) < Some(first));
+}
+
+/// Guards against an attempt at the origin that could not be answered: a node answers the miss in the last moment of its
+/// request, which is refused then, be a connection to the origin up or not.
+#[test]
+fn a_miss_in_the_last_moment_leads_to_no_attempt_at_the_origin() {
+    // The deadline of a second's patience is a tick before its end.
+    for (after, goes) in [(900, true), (990, true), (991, false), (994, false), (995, false), (999, false)] {
+        for up in [false, true] {
+            let mut p = aside(1_000_000 * MS);
+            let cache = dialled(&p.ask(1_000 * MS)).expect("a dial");
+            p.input(Input::Connected(cache));
+            if up {
+                let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+                p.input(Input::Connected(origin));
+                p.input(Input::Replied(origin, served()));
+                p.pass(SETTLED);
+                assert!(written(&p.ask_for(Key(8), 1_000 * MS)));
+            }
+            p.now += after * MS;
+            let effects = p.input(Input::Replied(cache, miss()));
+            let begins = written(&effects) || dialled(&effects).is_some();
+            assert_eq!(begins, goes, "{after} ms, up: {up}");
+            if !goes {
+                // Within the tick that is the client's still.
+                assert_eq!(answered(&effects) + answered(&p.pass(5 * MS)), 1, "{after} ms, up: {up}");
+            }
+            if goes && up {
+                assert_eq!(told(&effects), Some((995 - after) * MS));
+            }
+            assert_eq!(p.core.counters.unconnected, 0, "and nobody is blamed");
+        }
+    }
+}
+
+/// An origin connection that comes up late: what is told is what is left then.
+#[test]
+fn an_origin_dialled_late_is_told_what_is_left_then() {
+    for late in [0, 100, 240] {
+        let mut p = aside(1_000_000 * MS);
+        let cache = dialled(&p.ask(1_000 * MS)).expect("a dial");
+        p.input(Input::Connected(cache));
+        p.pass(100 * MS);
+        let origin = dialled(&p.input(Input::Replied(cache, miss()))).expect("a dial to the origin");
+        p.pass(late * MS);
+        assert_eq!(told(&p.input(Input::Connected(origin))), Some((895 - late) * MS), "{late} ms late");
+    }
+}
+
+/// What the log counts as the standing test does: a proxy that turns away all that it gets, 15 streams at the least, for 4 s
+/// on end, with no attempt in between; each such spell once.
+#[test]
+fn a_spell_in_which_all_is_turned_away_is_counted_once() {
+    let spells = |streams: u64, span: Micros, attempt: bool| {
+        let mut p = Proxy::new();
+        for _ in 0..2 {
+            p.input(Input::Cluster(Some(list(Phase::Draining, 2))));
+            for n in 0..streams {
+                p.pass(span / (streams as Micros - 1) / (5 * MS) * (5 * MS));
+                assert_eq!(answered(&p.ask(1_000 * MS)), 1, "no node: it is refused at once");
+                if attempt && n == streams / 2 {
+                    p.input(Input::Cluster(Some(list(Phase::Ready, 3))));
+                    let c = dialled(&p.ask_for(Key(8), 1_000 * MS)).expect("a dial");
+                    assert!(written(&p.input(Input::Connected(c))));
+                    p.input(Input::Replied(c, served()));
+                    p.input(Input::Cluster(Some(list(Phase::Draining, 4))));
+                }
+            }
+            // An attempt ends the spell.
+            p.input(Input::Cluster(Some(list(Phase::Ready, 5))));
+            let c = dialled(&p.ask_for(Key(9), 1_000 * MS)).expect("a dial");
+            assert!(written(&p.input(Input::Connected(c))));
+            p.input(Input::Replied(c, served()));
+        }
+        p.core.counters.refused_all
+    };
+    assert_eq!(spells(15, 4_200 * MS, false), 2);
+    assert_eq!(spells(60, 30_000 * MS, false), 2, "one spell, however long");
+    assert_eq!(spells(14, 6_500 * MS, false), 0, "too few");
+    assert_eq!(spells(60, 3_900 * MS, false), 0, "too short");
+    assert_eq!(spells(30, 6_000 * MS, true), 0, "with an attempt in between");
+}
