--- /dev/null
+++ b/crates/dissemination/src/log.rs
@@ -0,0 +1,1 @@
+//! The changes that a control machine holds.
--- /dev/null
+++ b/crates/dissemination/src/quorum.rs
@@ -0,0 +1,1 @@
+//! What a majority of the stores holds.
