--- a/crates/dissemination/src/change.rs
+++ b/crates/dissemination/src/change.rs
@@ -150,6 +150,9 @@
     pub offset: u32,
     /// See [`Change::key`].
     pub key: u32,
+    /// That of the head at this change.
+    #[serde(with = "postcard::fixint::le")]
+    pub digest: u32,
     /// See [`Change::body`].
     pub body: Rc<[u8]>,
 }
@@ -171,14 +174,12 @@
         /// That number.
         upto: u64,
     },
-    /// Changes of a register, in order. Those left out up to `upto` have been overwritten by later ones.
+    /// Changes of a register, in order. Those left out have been overwritten by later ones.
     Entries {
-        /// Up to where the piece goes.
-        upto: u64,
-        /// CRC-32 over the entries; where some are left out, the digest cannot be computed from them.
+        /// CRC-32 over the entries; where some are left out, digests cannot be computed from them.
         #[serde(with = "postcard::fixint::le")]
         check: u32,
-        /// What is left.
+        /// What is left; the piece goes up to the last one.
         entries: Vec<Entry>,
     },
     /// A part of one change that is too large for one batch. The follower puts it together; hosts see none.
@@ -191,6 +192,9 @@
         whole: u16,
         /// Where in it the part begins.
         offset: u16,
+        /// CRC-32 over the whole body.
+        #[serde(with = "postcard::fixint::le")]
+        check: u32,
         /// The part.
         bytes: Rc<[u8]>,
     },
@@ -218,7 +222,10 @@
                 self.after + (bytes.len() / usize::from((*width).max(1))) as u64
             }
             Content::Bodies(bodies) => self.after + bodies.len() as u64,
-            Content::Mark { upto } | Content::Entries { upto, .. } => *upto,
+            Content::Mark { upto } => *upto,
+            Content::Entries { entries, .. } => {
+                self.after + entries.last().map_or(0, |e| u64::from(e.offset))
+            }
             Content::Part { number, .. } => *number,
         }
     }
@@ -265,14 +272,13 @@
                 rule(*upto <= bounds::NUMBER, "a number beyond reason")?;
                 rule(*upto > self.after, "a piece that ends before it begins")
             }
-            Content::Entries { upto, entries, .. } => {
-                rule(*upto <= bounds::NUMBER, "a number beyond reason")?;
-                rule(*upto > self.after, "a piece that ends before it begins")?;
+            Content::Entries { entries, .. } => {
+                rule(!entries.is_empty(), "a piece without changes")?;
                 rule(entries.len() <= bounds::CHANGES, "too many changes")?;
                 rule(entries.iter().all(|e| e.body.len() <= bounds::BODY), "a change too large")?;
                 let numbers = || entries.iter().map(|e| u64::from(e.offset));
                 rule(numbers().zip(numbers().skip(1)).all(|(a, b)| a < b), "changes out of order")?;
-                rule(numbers().all(|n| n > 0 && n <= *upto - self.after), "changes outside of their piece")
+                rule(numbers().all(|n| n > 0), "changes out of order")
             }
             Content::Part { number, whole, offset, bytes, .. } => {
                 rule(*number <= bounds::NUMBER, "a number beyond reason")?;
@@ -285,12 +291,81 @@
     }
 }
 
+/// How a piece goes on from a head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fit {
+    /// Nothing in it is new.
+    Known,
+    /// Something before it lacks.
+    Gap,
+    /// It is not of the same history, or its bytes are wrong.
+    Differs,
+    /// A part: it goes on, as far as can be said before the change is whole.
+    Part,
+    /// What is new in it, and the head after it.
+    Fits(Piece, Head),
+}
+
+impl Piece {
+    /// How it goes on from a head. Changes that follow each other are proven by their digests; a mark is taken at
+    /// its word, and so is the digest after changes that were left out.
+    pub fn onto(&self, head: Head) -> Fit {
+        let upto = self.upto();
+        if upto <= head.number {
+            let other = upto == head.number && !matches!(self.content, Content::Part { .. });
+            return if other && self.digest != head.digest { Fit::Differs } else { Fit::Known };
+        }
+        if self.after > head.number {
+            return Fit::Gap;
+        }
+        let skip = (head.number - self.after) as usize;
+        let content = match &self.content {
+            Content::Part { .. } => return Fit::Part,
+            Content::Mark { upto } => Content::Mark { upto: *upto },
+            Content::Even { width, bytes } => {
+                let new = bytes.get(skip * usize::from(*width)..).unwrap_or_default();
+                Content::Even { width: *width, bytes: if skip == 0 { bytes.clone() } else { Rc::from(new) } }
+            }
+            Content::Bodies(bodies) => Content::Bodies(bodies.iter().skip(skip).cloned().collect()),
+            Content::Entries { check: said, entries } => {
+                if check(entries) != *said {
+                    return Fit::Differs;
+                }
+                let new = entries.iter().filter(|e| u64::from(e.offset) > skip as u64);
+                let rebase = |e: &Entry| Entry { offset: e.offset - skip as u32, ..e.clone() };
+                let entries: Vec<Entry> = new.map(rebase).collect();
+                Content::Entries { check: check(&entries), entries }
+            }
+        };
+        let piece = Piece { stream: self.stream, after: head.number, digest: self.digest, content };
+        match piece.walk(head) {
+            Some(end) if end.digest == self.digest => Fit::Fits(piece, end),
+            _ => Fit::Differs,
+        }
+    }
+
+    /// The head after a piece that begins at one; none if a digest is not right on the way.
+    fn walk(&self, head: Head) -> Option<Head> {
+        let Content::Entries { entries, .. } = &self.content else {
+            if let Content::Mark { upto } = self.content {
+                return Some(Head { number: upto, digest: self.digest });
+            }
+            return Some(self.changes().fold(head, |at, (_, key, body)| at.then(key, body)));
+        };
+        entries.iter().try_fold(head, |at, e| {
+            let said = Head { number: self.after + u64::from(e.offset), digest: e.digest };
+            (said.number > at.number + 1 || at.then(e.key, &e.body) == said).then_some(said)
+        })
+    }
+}
+
 /// The CRC-32 over entries that [`Content::Entries`] carries.
 pub fn check(entries: &[Entry]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     for e in entries {
         hasher.update(&e.offset.to_le_bytes());
         hasher.update(&e.key.to_le_bytes());
+        hasher.update(&e.digest.to_le_bytes());
         hasher.update(&e.body);
     }
     hasher.finalize()
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -130,6 +130,8 @@
     Polled {
         /// The question's.
         token: u32,
+        /// Whether it counts for a majority: not until a store that began with nothing holds what others hold.
+        counts: bool,
         /// What is held.
         position: Position,
     },
--- a/crates/dissemination/src/rules.rs
+++ b/crates/dissemination/src/rules.rs
@@ -7,13 +7,13 @@
 const MS: Micros = 1000;
 
 /// A fault that tests plant to show that a property can break. It acts only under the feature `planted`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Planted {
     /// A store acknowledges what it alone holds.
     AckAlone,
     /// A control machine passes on what no majority holds.
     Uncommitted,
-    /// A store numbers on after a restart without asking what the others hold.
+    /// A store that begins with nothing numbers on and counts without asking what the others hold.
     NoRecovery,
     /// A control machine is fresh by the answer of one store.
     PollOfOne,
@@ -35,8 +35,6 @@
     OldEpoch,
     /// A count names followers as having what they were sent, not what they confirmed.
     CountsSent,
-    /// A status takes control machines that did not answer for such that have nothing to say against.
-    UnheardCounts,
 }
 
 /// What rules of this process have planted from now on, unless they say otherwise: for hosts that start whole
@@ -68,7 +66,7 @@
 }
 
 /// See the file's comment.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Rules {
     /// Raised by the operators when stores are restored from an old copy.
     pub epoch: u32,
