--- a/crates/dissemination/tests/world/mod.rs
+++ b/crates/dissemination/tests/world/mod.rs
@@ -137,6 +137,8 @@
     seen: BTreeMap<(StreamId, u64), Rc<[u8]>>,
     asked: BTreeMap<u32, (StreamId, u64)>,
     pub liars: bool,
+    /// Whether any store has lost its disk.
+    pub wiped: bool,
     pub errors: Vec<String>,
     pub bytes_to: Vec<u64>,
     pub verdict: Result<(), Broken>,
@@ -173,6 +175,7 @@
             seen: BTreeMap::new(),
             asked: BTreeMap::new(),
             liars: false,
+            wiped: false,
             errors: vec![],
             bytes_to: vec![0; followers],
             verdict: Ok(()),
@@ -656,8 +659,8 @@
     pub fn hash(&self) -> u64 {
         let mut h = DefaultHasher::new();
         (self.now, &self.controls, &self.disks, &self.followers, &self.applied, &self.ills).hash(&mut h);
-        (&self.cut_off, &self.wires, &self.acknowledged, &self.lives).hash(&mut h);
-        self.dials.hash(&mut h);
+        (&self.cut_off, &self.wires, &self.acknowledged, &self.lives, &self.seen).hash(&mut h);
+        (&self.dials, self.wiped, self.liars).hash(&mut h);
         h.finish()
     }
 
