Make the framed connections generic over their message type

Need: control machines, followers and submitters speak frames of their own over the same kind of connection.

--- a/src/owner/planners.rs
+++ b/src/owner/planners.rs
@@ -4,7 +4,7 @@
 use crate::features::forwarder::{Forwarding, Wish};
 use crate::interface::{Micros, Plan};
 use crate::net::framed::{self, Outbox, Word};
-use crate::net::Queue;
+use crate::net::{News, Queue};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use plan::frame;
@@ -93,7 +93,8 @@
         let Some(address) = self.forwarding.address(slot) else { return };
         self.last += 1;
         let (number, (outbox, inbox)) = (self.last, framed::outbox());
-        let task = executor.spawn(framed::dial(address, slot, number, inbox, queue.clone()));
+        let word = move |word| News::Planner(slot, number, word);
+        let task = executor.spawn(framed::dial(address, inbox, queue.clone(), word));
         self.open.insert(slot, Connection { number, outbox, _task: task });
     }
 
