Add the control machine's host and store file, and the proxy's side of changes

Need: the dissemination machine (crates/dissemination) has no sockets, no disk and nothing that changes are applied to. Change: features::control serves a control machine; a store's records go to a file of frames with CRC-32, one fdatasync for all that waits, off the serving thread, before any effect behind them. features::follower holds the proxy's machine without a socket; the owner carries its connections. Purges go to a bounded record, settings are checked whole with the proxy's own file and kept: carried, not in force. The last value of a setting goes by the submitter's version, so that proxies agree though two stores number changes of one key. Without control lines there is none of it.

--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -60,6 +60,8 @@
     pub serving: usize,
     /// Downstreams that were closed, by the reason.
     pub closed: Vec<(&'static str, u64)>,
+    /// Whether control machines keep this proxy in service, where there are any.
+    pub controlled: Option<bool>,
 }
 
 #[derive(Clone, Copy)]
@@ -239,6 +241,9 @@
             state.push(&line("downstreams.closed", Sort::Counter, &[("reason", reason)], n));
         }
         state.push(&line("nodes.serving", Sort::Gauge, &[], gauges.serving as u64));
+        if let Some(controlled) = gauges.controlled {
+            state.push(&line("control.inservice", Sort::Gauge, &[], u64::from(controlled)));
+        }
         if state.dropped > 0 {
             let dropped = std::mem::take(&mut state.dropped);
             state.push(&line("figures.dropped", Sort::Counter, &[], dropped));
--- a/src/features/file.rs
+++ b/src/features/file.rs
@@ -1,6 +1,7 @@
 //! Our own file: `name value` a line, `#` before a comment. It is read once, at the start.
 
-use super::{addresses, figures, forwarder, multiget, planner, snmp, tap};
+use super::control::{self, Controls, Listed};
+use super::{addresses, figures, follower, forwarder, multiget, planner, snmp, tap};
 use crate::door;
 use crate::interface::Micros;
 use crate::net::memcached::{self, Desk, Nodes, Speakers};
@@ -27,13 +28,16 @@
     pub door: door::Settings,
     pub forwarder: Option<forwarder::Settings>,
     pub planner: Option<planner::Settings>,
+    pub control: Option<control::Settings>,
+    pub follower: Option<follower::Settings>,
 }
 
 impl Features {
     /// Whether the site has what is named here; an error tells the setting. With this, nothing is used yet.
     pub fn fit(&self, site: &Site) -> Result<(), String> {
         self.memcached.as_ref().map(|settings| Desk::new(settings, site, 0)).transpose()?;
-        Speakers::new(&self.memcachednodes, site).map(drop)
+        Speakers::new(&self.memcachednodes, site)?;
+        self.follower.as_ref().map_or(Ok(()), |settings| settings.controls.rules().map(drop))
     }
 }
 
@@ -47,8 +51,35 @@
     read(&String::from_utf8_lossy(&bytes)).map_err(|(line, what)| format!("{path}:{line}: {what}"))
 }
 
-/// An error comes with the number of its line.
-fn read(text: &str) -> Result<Features, (usize, String)> {
+/// Name and value of a line, if it has any.
+fn setting(line: &str) -> Option<(&str, &str)> {
+    // A comment stands alone or behind white space: a path may hold a `#`.
+    let comment =
+        line.match_indices('#').find(|(at, _)| !line[..*at].ends_with(|c: char| !c.is_whitespace()));
+    let line = line[..comment.map_or(line.len(), |(at, _)| at)].trim();
+    let (name, value) = line.split_once(char::is_whitespace).unwrap_or((line, ""));
+    Some((name, value.trim())).filter(|(name, _)| !name.is_empty())
+}
+
+/// The one setting that some lines are about; none if they are about several or nothing.
+pub fn about(lines: &str) -> Option<&str> {
+    let mut names = lines.lines().filter_map(setting).map(|(name, _)| name);
+    let first = names.next()?;
+    names.all(|name| name == first).then_some(first)
+}
+
+/// A file's text with the lines about some settings, by their names, in place of its own. Lines without a value say
+/// that the file's own hold.
+pub fn overlaid<'a>(text: &str, over: impl Iterator<Item = (&'a str, &'a str)>) -> String {
+    let valued = |lines: &str| lines.lines().filter_map(setting).any(|(_, value)| !value.is_empty());
+    let over: Vec<(&str, &str)> = over.filter(|(_, lines)| valued(lines)).collect();
+    let stays = |line: &str| setting(line).is_none_or(|(name, _)| over.iter().all(|(o, _)| *o != name));
+    let stay = text.lines().map(|line| if stays(line) { line } else { "" });
+    stay.chain(over.iter().flat_map(|(_, lines)| lines.lines())).flat_map(|line| [line, "\n"]).collect()
+}
+
+/// As [`load`] for a text that is at hand. An error comes with the number of its line.
+pub fn read(text: &str) -> Result<Features, (usize, String)> {
     let mut multiget = multiget::Settings::default();
     let mut tap = tap::Settings::default();
     let mut lists = addresses::Lists::default();
@@ -58,17 +89,11 @@
     let mut door = door::Settings::default();
     let (mut multigetport, mut tapport, mut memcacheport) = (None, None, None);
     let (mut planners, mut plannerport, mut forwarders) = (Vec::new(), None, None);
+    let (mut controls, mut control) = (Controls::default(), control::Settings::default());
+    let (mut controlport, mut place) = (None, None);
     let mut seen: Vec<&str> = Vec::new();
     for (i, line) in text.lines().enumerate() {
-        // A comment stands alone or behind white space: a path may hold a `#`.
-        let comment =
-            line.match_indices('#').find(|(at, _)| !line[..*at].ends_with(|c: char| !c.is_whitespace()));
-        let line = line[..comment.map_or(line.len(), |(at, _)| at)].trim();
-        if line.is_empty() {
-            continue;
-        }
-        let (name, value) = line.split_once(char::is_whitespace).unwrap_or((line, ""));
-        let value = value.trim();
+        let Some((name, value)) = setting(line) else { continue };
         let mut set = || {
             match name {
                 "multigetport" => multigetport = Some(port(value)?),
@@ -97,13 +122,21 @@
                 "planner" => planners.push(planner(value, &planners)?),
                 "plannerport" => plannerport = Some(port(value)?),
                 "planforwarders" => forwarders = Some(whole(value, 1..=bounds::FORWARDERS)? as u32),
+                "control" => controls.listed.push(listed(value, &controls.listed)?),
+                "controlstores" => controls.stores = Some(whole(value, 1..=control::MOST)? as u8),
+                "controlepoch" => controls.epoch = whole(value, 1..=u32::MAX as usize)? as u32,
+                "controlplace" => place = Some(self::place(value)?),
+                "controlport" => controlport = Some(port(value)?),
+                "controlnumber" => control.number = whole(value, 0..=control::MOST - 1)? as u8,
+                "controlstore" => control.store = Some(named(value, "a file")?.into()),
+                "followers" => control.followers = Some(named(value, "a file")?.into()),
                 _ if name.starts_with("snmp") => agent.set(i + 1, name, value)?,
                 _ => return Err("unknown setting".to_owned()),
             }
             Ok(())
         };
         set().map_err(|what| (i + 1, format!("{}: {what}", name.escape_debug())))?;
-        let many = matches!(name, "allow" | "deny" | "proxyfrom" | "planner" | "memcachenodes");
+        let many = matches!(name, "allow" | "deny" | "proxyfrom" | "planner" | "memcachenodes" | "control");
         let many = many || snmp::Lines::many(name);
         if !many && seen.contains(&name) {
             return Err((i + 1, format!("{name}: set twice")));
@@ -123,6 +156,12 @@
             .filter(|p| !p.is_empty())
             .map(|planners| forwarder::Settings { planners, forwarders }),
         planner: plannerport.map(|port| planner::Settings { port, forwarders }),
+        control: controlport.map(|port| control::Settings { port, controls: controls.clone(), ..control }),
+        follower: Some(controls).filter(|c| !c.listed.is_empty()).map(|controls| follower::Settings {
+            controls,
+            place,
+            text: text.into(),
+        }),
         addresses: Some(lists).filter(|lists| *lists != addresses::Lists::default()),
     })
 }
@@ -193,6 +232,33 @@
     }
 }
 
+/// Another control machine beside those that are listed already.
+fn listed(value: &str, before: &[Listed]) -> Result<Listed, String> {
+    let (address, at) = value.split_once(char::is_whitespace).unwrap_or((value, ""));
+    let address = address.parse().ok().filter(|a: &SocketAddr| a.port() > 0);
+    match (address, place(at.trim())) {
+        (Some(address), _) if before.iter().any(|l| l.address == address) => {
+            Err(format!("{address} is named twice"))
+        }
+        (Some(_), _) if before.len() >= control::MOST => {
+            Err(format!("more than {} control machines", control::MOST))
+        }
+        (Some(address), Ok(place)) => Ok(Listed { address, place }),
+        _ => wanted(value, "an address and a place, like 127.0.0.1:7500 REGION/ZONE/SITE,"),
+    }
+}
+
+/// Where a machine stands.
+fn place(value: &str) -> Result<[String; 3], String> {
+    let letter = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let parts: Vec<String> = value.split('/').map(str::to_owned).collect();
+    let fine = parts.iter().all(|part| !part.is_empty() && part.chars().all(letter));
+    match parts.try_into() {
+        Ok(parts) if fine => Ok(parts),
+        _ => wanted(value, "a place like REGION/ZONE/SITE"),
+    }
+}
+
 fn fraction(value: &str) -> Result<f64, String> {
     let plain = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let part = value.parse::<f64>().ok().filter(|x| plain && *x > 0.0 && *x <= 1.0);
--- /dev/null
+++ b/src/features/follower.rs
@@ -0,0 +1,303 @@
+//! A proxy's side of control machines: numbered changes come from them, and what of them is applied goes back. It owns
+//! the [`dissemination::Follower`] of this proxy, and what they are applied to ([`applier`]); no socket and no clock, so
+//! that virtual time can drive it too. Without `control` lines there is none.
+//!
+//! Nothing is kept over a restart, since what changes are applied to is not: a proxy that starts takes all of it anew.
+//!
+//! Feed it what connections say and [`Following::tick`] at [`Following::next`]; carry out its [`Wish`]es.
+
+pub mod applier;
+
+use super::control::{settings, stream, Controls};
+use crate::interface::Micros;
+use applier::{Applier, Refusal};
+use dissemination::follower::Output;
+use dissemination::frame::Refused;
+use dissemination::{order, ControlId, Follower, Message, Piece, StreamId, TopicKind};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tracing::field::display;
+use tracing::{info, warn};
+
+/// How often figures are told; lines about changes between two of them.
+const FIGURES: Micros = 10_000_000;
+const LINES: u64 = 20;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub controls: Controls,
+    /// Where this proxy stands: region, zone, site.
+    pub place: Option<[String; 3]>,
+    /// The text of our own file, which carried settings change.
+    pub text: Rc<str>,
+}
+
+/// What is to be done for it.
+#[derive(Debug)]
+pub enum Wish {
+    /// Connect to a control machine.
+    Dial(ControlId),
+    Send(ControlId, Message),
+    /// Tell it why and close its connection, also one that is only being opened.
+    Close(ControlId, Refused),
+}
+
+/// See the file's comment.
+#[derive(Debug)]
+pub struct Following {
+    machine: Follower,
+    topics: Vec<TopicKind>,
+    addresses: Vec<SocketAddr>,
+    applier: Box<dyn Applier>,
+    out: Vec<Output>,
+    /// Control machines whose trouble has been told.
+    troubled: BTreeSet<ControlId>,
+    lines: u64,
+    told: Micros,
+    in_service: bool,
+    /// Changes that were not put in force, since the start.
+    refused: u64,
+}
+
+impl Following {
+    /// For a proxy of this name. An error tells what of the settings does not fit together.
+    pub fn new(
+        now: Micros,
+        settings: &Settings,
+        name: &str,
+        applier: Box<dyn Applier>,
+    ) -> Result<Self, String> {
+        let rules = settings.controls.rules()?;
+        let (me, topics) = (settings::follower(name), rules.topics.clone());
+        let (places, place) = settings.controls.places(settings.place.as_ref());
+        let order = order::order(me, place, &places);
+        let (controls, first) = (order.len(), order.first().map_or(0, |c| c.0));
+        let id = me.0;
+        info!(
+            event = "follower",
+            controls, first, "follower {id:016x} of {controls} control machines, the first is {first}"
+        );
+        Ok(Following {
+            machine: Follower::new(now, rules, me, order, None, now.unsigned_abs())?,
+            topics,
+            addresses: settings.controls.listed.iter().map(|l| l.address).collect(),
+            applier,
+            out: Vec::new(),
+            troubled: BTreeSet::new(),
+            lines: 0,
+            told: now,
+            in_service: false,
+            refused: 0,
+        })
+    }
+
+    /// Where a control machine is.
+    pub fn address(&self, control: ControlId) -> Option<SocketAddr> {
+        self.addresses.get(usize::from(control.0)).copied()
+    }
+
+    /// A connection is up.
+    pub fn up(&mut self, now: Micros, control: ControlId) {
+        self.machine.up(now, control, &mut self.out);
+    }
+
+    /// A connection is over, or did not come up. The first of a row is told.
+    pub fn down(&mut self, now: Micros, control: ControlId, why: &str) {
+        self.trouble(control, why);
+        self.machine.down(now, control, &mut self.out);
+    }
+
+    fn trouble(&mut self, control: ControlId, why: &str) {
+        if self.troubled.insert(control) {
+            let (number, address) = (control.0, self.address(control).map(display));
+            warn!(event = "control_down", number, control = address, why, "control machine {number}: {why}");
+        }
+    }
+
+    /// A control machine has said something.
+    pub fn said(&mut self, now: Micros, control: ControlId, message: &Message) {
+        let welcome = matches!(message, Message::Welcome { .. });
+        match self.machine.message(now, control, message, &mut self.out) {
+            Err(why) => {
+                self.trouble(control, &why.to_string());
+                self.out.push(Output::Close(control, why));
+            }
+            Ok(()) if welcome && self.troubled.remove(&control) => {
+                let (number, address) = (control.0, self.address(control).map(display));
+                info!(
+                    event = "control_up",
+                    number,
+                    control = address,
+                    "control machine {number} is within reach again"
+                );
+            }
+            Ok(()) => {}
+        }
+    }
+
+    /// When [`Following::tick`] has something to do.
+    pub fn next(&self) -> Micros {
+        self.machine.next()
+    }
+
+    /// Whether everything that was acknowledged a lease ago is applied.
+    pub fn in_service(&self) -> bool {
+        self.in_service
+    }
+
+    /// Does what is due, and hands out what is to be done.
+    pub fn tick(&mut self, now: Micros, wishes: &mut Vec<Wish>) {
+        if self.machine.next() <= now {
+            self.machine.tick(now, &mut self.out);
+        }
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                Output::Dial(control) => wishes.push(Wish::Dial(control)),
+                Output::Send(control, message) => wishes.push(Wish::Send(control, message)),
+                Output::Close(control, why) => {
+                    if !matches!(why, Refused::Left) {
+                        self.trouble(control, &why.to_string());
+                    }
+                    wishes.push(Wish::Close(control, why));
+                }
+                Output::Apply(piece) => self.apply(&piece),
+                Output::Stale(of) => self.stale(of),
+                Output::OutOfService => {
+                    self.in_service = false;
+                    let lease = "no control machine has said for the lease that nothing lacks";
+                    warn!(event = "out_of_service", "out of service: {lease}");
+                }
+                Output::InService => {
+                    self.in_service = true;
+                    info!(event = "in_service", "in service: all that was acknowledged is here");
+                }
+            }
+        }
+        if now - self.told >= FIGURES {
+            self.told = now;
+            self.figures(now);
+        }
+    }
+
+    fn apply(&mut self, piece: &Piece) {
+        let of = piece.stream;
+        match self.topics.get(usize::from(of.topic)) {
+            Some(TopicKind::Set) if piece.is_mark() => {
+                self.applier.all_stale();
+                let (name, upto) = (stream(of), piece.upto());
+                self.line(|| {
+                    info!(
+                        event = "mark",
+                        stream = name,
+                        upto,
+                        "{name}: all up to change {upto} is taken for stale"
+                    );
+                });
+            }
+            Some(TopicKind::Set) => piece.changes().for_each(|(_, _, body)| self.applier.stale(body)),
+            Some(TopicKind::Register) => {
+                for (number, key, body) in piece.changes() {
+                    let done = self.applier.configure(of, key, body);
+                    self.configured(of, number, done);
+                }
+            }
+            // The machine applies no topic that its rules have not.
+            None => {}
+        }
+    }
+
+    fn configured(&mut self, of: StreamId, number: u64, done: Result<String, Refusal>) {
+        let name = stream(of);
+        match done {
+            Ok(setting) => self.line(|| {
+                info!(
+                    event = "configured",
+                    stream = name,
+                    number,
+                    setting,
+                    "change {name}.{number}: {setting} is carried, not yet in force"
+                );
+            }),
+            Err(Refusal(why)) => {
+                self.refused += 1;
+                self.machine.refused(of, number);
+                self.line(|| {
+                    warn!(
+                        event = "change_refused",
+                        stream = name,
+                        number,
+                        why,
+                        "change {name}.{number} is refused, the last good settings stay: {why}"
+                    );
+                });
+            }
+        }
+    }
+
+    fn stale(&mut self, of: StreamId) {
+        match self.topics.get(usize::from(of.topic)) {
+            Some(TopicKind::Set) => self.applier.all_stale(),
+            Some(TopicKind::Register) => self.applier.void(of),
+            None => {}
+        }
+        let name = stream(of);
+        self.line(|| {
+            warn!(event = "begun_anew", stream = name, "{name}: what was held is void, it comes anew")
+        });
+    }
+
+    /// A line of which there could be many.
+    fn line(&mut self, tell: impl FnOnce()) {
+        self.lines += 1;
+        if self.lines <= LINES {
+            tell();
+        }
+    }
+
+    fn figures(&mut self, now: Micros) {
+        let s = self.machine.shown(now);
+        let number = |of: Option<(ControlId, bool)>| of.filter(|(_, up)| *up).map(|(c, _)| c.0);
+        let (primary, secondary) = (number(s.primary), number(s.secondary));
+        let held: u64 = self.machine.position().iter().map(|(_, number)| number).sum();
+        let (age_ms, refused) = (s.age.map(|age| age / 1000), self.refused);
+        let told = |n: Option<u8>| n.map_or("none".to_owned(), |n| n.to_string());
+        let age = age_ms.map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+        let (in_service, applied) = (self.in_service, self.applier.counts());
+        info!(
+            event = "following",
+            in_service,
+            primary,
+            secondary,
+            age_ms,
+            held,
+            applied = s.applied,
+            marks = s.marks,
+            refused,
+            stale = applied.stale,
+            stale_floor = applied.all_stale,
+            settings = applied.settings,
+            pulls = s.pulls,
+            promotions = s.promotions,
+            misfits = s.misfits,
+            bytes_in = s.bytes_in,
+            bytes_out = s.bytes_out,
+            "following: in service {in_service}, primary {} secondary {}, all known {age}; held {held} applied {} \
+             marks {} refused {refused} settings {}; pulls {} promotions {} misfits {}; bytes in {} out {}",
+            told(primary),
+            told(secondary),
+            s.applied,
+            s.marks,
+            applied.settings,
+            s.pulls,
+            s.promotions,
+            s.misfits,
+            s.bytes_in,
+            s.bytes_out,
+        );
+        let left = std::mem::take(&mut self.lines).saturating_sub(LINES);
+        if left > 0 {
+            warn!(event = "left_out", lines = left, "{left} more lines about changes left out");
+        }
+    }
+}
--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -2,8 +2,10 @@
 //! the file; decisions stay in the module whatever is on.
 
 pub mod addresses;
+pub mod control;
 pub mod figures;
 pub mod file;
+pub mod follower;
 pub mod forwarder;
 pub mod multiget;
 pub mod planner;
--- a/src/net/framed.rs
+++ b/src/net/framed.rs
@@ -6,6 +6,8 @@
 //! by messages a second: past that a peer floods and is cut, with the reason. Nobody ever waits for a peer except its
 //! own task.
 
+mod changes;
+
 use super::downstream::farewell;
 use super::read;
 use async_channel::{Receiver, Sender};
--- a/src/net/news.rs
+++ b/src/net/news.rs
@@ -4,6 +4,7 @@
 use super::framed::Word;
 use crate::codec::discovery::Cluster;
 use crate::core::{DownstreamId, Input};
+use dissemination::{ControlId, Message};
 use std::net::SocketAddr;
 
 /// Who is at the other end, as lines of the log name it.
@@ -48,6 +49,8 @@
     Discovery(u64, Heard),
     /// From the connection to a planner, by its place in the file and the number of the connection.
     Planner(usize, u64, Word),
+    /// From the connection to a control machine, and the number of the connection.
+    Control(ControlId, u64, Word<Message>),
     /// A planned end.
     End,
     /// The configuration has been replaced.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -2,14 +2,15 @@
 //! and holds the task of every connection, each of which is dropped in one place.
 //!
 //! A file for each thing that it looks after: the [`ports`] it listens on, [`downstreams`] and [`upstreams`],
-//! where [`discovery`] is, the features at work ([`side`]), the [`planners`] and what it tells ([`report`]).
-//! None of them knows another but for their words; how they meet is here.
+//! where [`discovery`] is, the features at work ([`side`]), the [`planners`], the [`controls`] and what it tells
+//! ([`report`]). None of them knows another but for their words; how they meet is here.
 //!
 //! A decision about a request has no place here: it is the module's. Who may connect, who makes room and how
 //! a planned end goes is the [`door`]'s.
 //!
 //! [`door`]: crate::door
 
+mod controls;
 mod discovery;
 mod downstreams;
 mod planners;
@@ -26,6 +27,7 @@
 use crate::door::{Counts, Door, Feed, Limits, Why};
 use crate::features::figures::Gauges;
 use crate::features::file::Features;
+use crate::features::follower::{applier::Carried, Following};
 use crate::features::forwarder::Forwarding;
 use crate::features::snmp::{self, sight::Owned, Identity};
 use crate::interface::Micros;
@@ -40,6 +42,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
+use controls::Connections;
 use discovery::Discovery;
 use downstreams::{Downstreams, New};
 use futures_lite::{future, StreamExt};
@@ -79,6 +82,7 @@
     discovery: Discovery,
     side: Side,
     planners: Option<Planners>,
+    controls: Option<Connections>,
     report: Report,
     /// What the door had counted when figures were flushed last.
     flushed: Counts,
@@ -124,6 +128,13 @@
             Some(Planners::new(made.map_err(|e| format!("planners: {e}"))?))
         }
     };
+    let controls = match features.follower.clone() {
+        None => None,
+        Some(settings) => {
+            let carried = Box::new(Carried::new(settings.text.clone(), site.clone()));
+            Some(Connections::new(Following::new(now, &settings, &config.name, carried)?))
+        }
+    };
     let side = Side::new(now, features, Identity { name: &config.name, site: site.clone(), seed })?;
     let ports = bound.open(&executor, &queue, side.admits());
     let writer = side.figures().map(|figures| executor.spawn(figures.write(stderr)));
@@ -146,6 +157,7 @@
         discovery: Discovery::new(path, config.discovery),
         side,
         planners,
+        controls,
         report: Report::new(now),
         flushed: Counts::default(),
         started: now,
@@ -188,6 +200,9 @@
             self.look_ready(now);
             self.keep_door(now);
             self.plan(now);
+            if let Some(controls) = &mut self.controls {
+                controls.tick(now, &self.executor, &self.queue);
+            }
             if now - self.swept >= SWEEP {
                 self.sweep(now);
             }
@@ -204,6 +219,7 @@
             let soon = now + if self.ending.is_some() { ENDING } else { SWEEP };
             let soon = self.door.next(now).map_or(soon, |at| soon.min(at));
             let soon = self.planners.as_ref().map_or(soon, |p| soon.min(p.forwarding.next(now)));
+            let soon = self.controls.as_ref().map_or(soon, |c| soon.min(c.following.next()));
             timer.set_at(self.clock.instant(self.core.next().min(soon)));
             let tick = async {
                 (&mut timer).await;
@@ -261,6 +277,11 @@
                     planners.hear(now, slot, number, word);
                 }
             }
+            News::Control(control, number, word) => {
+                if let Some(controls) = &mut self.controls {
+                    controls.hear(now, control, number, word);
+                }
+            }
             News::Crowded => {
                 self.tell_door(now);
                 self.make_room(now, true);
@@ -454,7 +475,8 @@
         let counts = self.door.counts();
         let closed = counts.since(&std::mem::replace(&mut self.flushed, counts)).collect();
         let (downstreams, upstreams) = (self.door.len(), self.core.open_connections());
-        Gauges { downstreams, upstreams, serving: self.core.serving(), closed }
+        let controlled = self.controls.as_ref().map(|c| c.following.in_service());
+        Gauges { downstreams, upstreams, serving: self.core.serving(), closed, controlled }
     }
 
     /// A planned end, if one is under way: goes on with it, and tells whether it is over.
