--- /dev/null
+++ b/src/commands/change.rs
@@ -0,0 +1,385 @@
+//! `martenweir change submit|status|wait`: gives changes to control machines, and tells which proxies have them.
+//!
+//! Exit statuses: 0 where it is done (submit: all are acknowledged; status and wait: every proxy that serves has it), 2
+//! where it is not yet (submit: refused for want of room, try again after the time that is told; status and wait: not
+//! known of all), 1 for everything else: a wrong word, no answer, nobody within reach.
+
+use super::{fail, say};
+use crate::codec::discovery;
+use crate::features::control::settings;
+use crate::features::file;
+use crate::features::follower::applier;
+use dissemination::frame::{self, Reader};
+use dissemination::message::Told;
+use dissemination::{ControlId, FollowerId, Message, StreamId};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub(super) const USAGE: &str =
+    "martenweir change submit --purge KEY ...|--setting LINE ...|--reset NAME ADDRESS..., \
+     martenweir change status|wait CHANGE ADDRESS...";
+const SUBMIT: &str = "martenweir change submit --purge KEY ...|--setting LINE ...|--reset NAME ADDRESS...";
+const STATUS: &str = "martenweir change status [--followers FILE] CHANGE ADDRESS...";
+const WAIT: &str = "martenweir change wait [--for SECONDS] [--followers FILE] CHANGE ADDRESS...";
+/// Without an answer for so long another control machine is asked. A store answers once a majority has the change,
+/// a status is counted for a second at most.
+const PATIENCE: Duration = Duration::from_secs(3);
+const CONNECT: Duration = Duration::from_secs(1);
+/// Between two questions of `wait`.
+const AGAIN: Duration = Duration::from_millis(250);
+/// Positions of the topics in [`dissemination::Rules::topics`].
+const PURGES: u8 = 0;
+const SETTINGS: u8 = 1;
+/// Bytes of a purged object's key: of 110 million objects 4 in 10 million are purged in vain with each.
+const KEY: usize = 6;
+/// Names of proxies that are printed in one line.
+const NAMES: usize = 20;
+/// Not yet: see the file's comment.
+const NOT_YET: u8 = 2;
+
+/// Gives changes to control machines, and tells which proxies have them
+#[derive(Debug, clap::Args)]
+#[command(override_usage = USAGE, help_template = super::HELP)]
+pub(super) struct Options {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, clap::Subcommand)]
+enum Command {
+    /// Gives changes to stores; each is printed once a majority of the stores has it
+    #[command(override_usage = SUBMIT, help_template = super::HELP)]
+    Submit {
+        /// An object whose copies at nodes are stale; may be given many times
+        #[arg(long, value_name = "KEY", allow_hyphen_values = true)]
+        purge: Vec<String>,
+        /// A line of the file of features; several lines, all about one setting, are one change
+        #[arg(long, value_name = "LINE", conflicts_with = "purge")]
+        setting: Vec<String>,
+        /// A setting whose lines in each proxy's own file are to hold again
+        #[arg(long, value_name = "NAME", conflicts_with_all = ["purge", "setting"])]
+        reset: Option<String>,
+        /// IP addresses and ports of the control machines
+        #[arg(required = true)]
+        addresses: Vec<String>,
+    },
+    /// Prints how many proxies have a change, and which are not known to
+    #[command(override_usage = STATUS, help_template = super::HELP)]
+    Status {
+        /// The list of proxies' names [default: names as 16 hexadecimal digits]
+        #[arg(long, value_name = "FILE")]
+        followers: Option<String>,
+        /// The change, as submit prints it
+        change: String,
+        /// IP addresses and ports of control machines, of which the first to answer is believed
+        #[arg(required = true)]
+        addresses: Vec<String>,
+    },
+    /// Waits until every proxy that serves has a change
+    #[command(override_usage = WAIT, help_template = super::HELP)]
+    Wait {
+        /// How long it waits at most
+        #[arg(long = "for", value_name = "SECONDS", default_value = "10")]
+        most: f64,
+        /// The list of proxies' names [default: names as 16 hexadecimal digits]
+        #[arg(long, value_name = "FILE")]
+        followers: Option<String>,
+        /// The change, as submit prints it
+        change: String,
+        /// IP addresses and ports of control machines, of which the first to answer is believed
+        #[arg(required = true)]
+        addresses: Vec<String>,
+    },
+}
+
+/// Whether it is done, or not yet.
+type Done = Result<bool, String>;
+
+pub(super) fn run(options: &Options) -> ExitCode {
+    let done = match &options.command {
+        Command::Submit { purge, setting, reset, addresses } => {
+            changes(purge, setting, reset.as_deref()).and_then(|changes| submit(&changes, addresses))
+        }
+        Command::Status { followers, change, addresses } => status(followers.as_deref(), change, addresses),
+        Command::Wait { most, followers, change, addresses } => {
+            wait(*most, followers.as_deref(), change, addresses)
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(NOT_YET),
+        Err(what) => fail(&format!("change: {what}")),
+    }
+}
+
+/// A change that is to be submitted.
+#[derive(Debug)]
+struct New {
+    topic: u8,
+    key: u32,
+    body: Rc<[u8]>,
+}
+
+fn changes(purge: &[String], setting: &[String], reset: Option<&str>) -> Result<Vec<New>, String> {
+    let lines = match reset {
+        Some(name) => name.trim().to_owned(),
+        None => setting.join("\n"),
+    };
+    if !lines.is_empty() {
+        let name = file::about(&lines).ok_or("the lines are not about one setting")?;
+        // The greatest version counts: that of who says it last, by the clock of the machine where it is said.
+        let version = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let body = applier::body(version, &lines).into();
+        return Ok(vec![New { topic: SETTINGS, key: applier::key(name), body }]);
+    }
+    if purge.is_empty() {
+        return Err("nothing to submit: --purge, --setting or --reset".into());
+    }
+    let key = |name: &String| discovery::number(name.as_bytes()).to_be_bytes();
+    let change = |name| New { topic: PURGES, key: 0, body: key(name).iter().take(KEY).copied().collect() };
+    Ok(purge.iter().map(change).collect())
+}
+
+/// A control machine, connected when it is first needed.
+struct Machine {
+    address: SocketAddr,
+    open: Option<(TcpStream, Reader)>,
+}
+
+impl Machine {
+    fn all(addresses: &[String]) -> Result<Vec<Machine>, String> {
+        let one = |text: &String| match text.parse() {
+            Ok(address) => Ok(Machine { address, open: None }),
+            Err(_) => Err(format!("{text}: not an address like 127.0.0.1:7500")),
+        };
+        addresses.iter().map(one).collect()
+    }
+
+    /// Asks it something, and waits for the answer that `take` takes for one.
+    fn ask<T>(&mut self, message: &Message, take: impl Fn(Message) -> Option<T>) -> Result<T, String> {
+        let answer = self.talk(message, take);
+        if answer.is_err() {
+            self.open = None;
+        }
+        answer.map_err(|why| format!("{}: {why}", self.address))
+    }
+
+    fn talk<T>(&mut self, message: &Message, take: impl Fn(Message) -> Option<T>) -> Result<T, String> {
+        let failed = |e: io::Error| e.to_string();
+        let (socket, reader) = match &mut self.open {
+            Some(open) => open,
+            closed => {
+                let socket = TcpStream::connect_timeout(&self.address, CONNECT).map_err(failed)?;
+                socket.set_nodelay(true).map_err(failed)?;
+                closed.insert((socket, Reader::default()))
+            }
+        };
+        socket.write_all(&frame::encode(message).map_err(|e| e.to_string())?).map_err(failed)?;
+        let (mut bytes, until) = ([0; 16 * 1024], Instant::now() + PATIENCE);
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err("no answer".into());
+            }
+            socket.set_read_timeout(Some(left)).map_err(failed)?;
+            let n = match socket.read(&mut bytes) {
+                Ok(0) => return Err("closed without an answer".into()),
+                Ok(n) => n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    return Err("no answer".into())
+                }
+                Err(e) => return Err(e.to_string()),
+            };
+            let mut come = bytes.get(..n).unwrap_or_default();
+            while let Some(message) = reader.read(&mut come).map_err(|e| e.to_string())? {
+                if let Some(answer) = take(message) {
+                    return Ok(answer);
+                }
+            }
+        }
+    }
+}
+
+/// What a store makes of a submission.
+enum Answer {
+    Taken(StreamId, u64),
+    Busy(u32),
+}
+
+/// Gives each change to a store, the next of the list each time, and to the others in turn where one has no room or
+/// does not answer. What was not answered may have been taken all the same: it is the same change twice, and does no
+/// harm.
+fn submit(changes: &[New], addresses: &[String]) -> Done {
+    let mut machines = Machine::all(addresses)?;
+    let count = machines.len();
+    // Who submits one change at a time is not always at the first.
+    let start =
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos() as usize / 1000;
+    for (i, new) in changes.iter().enumerate() {
+        let message = |token| {
+            let New { topic, key, body } = new;
+            Message::Submit { token, topic: *topic, key: *key, body: body.clone() }
+        };
+        let (mut busy, mut why, mut taken) = (None::<u32>, String::new(), None);
+        for turn in 0..count {
+            let token = i as u32;
+            let Some(machine) = machines.get_mut((start + i + turn) % count) else { continue };
+            let answer = machine.ask(&message(token), |answer| match answer {
+                Message::Submitted { token: of, stream, number } if of == token => {
+                    Some(Answer::Taken(stream, number))
+                }
+                Message::Busy { token: of, after } if of == token => Some(Answer::Busy(after)),
+                _ => None,
+            });
+            match answer {
+                Ok(Answer::Taken(stream, number)) => {
+                    taken = Some((stream, number));
+                    break;
+                }
+                Ok(Answer::Busy(after)) => busy = Some(busy.map_or(after, |before| before.min(after))),
+                Err(what) => why = what,
+            }
+        }
+        match (taken, busy) {
+            (Some((stream, number)), _) => {
+                say(&format!(
+                    "{}.{}.{number} acknowledged: a majority of the stores has it on disk",
+                    stream.topic, stream.store.0
+                ))?;
+            }
+            (None, Some(after)) => {
+                let left = changes.len() - i;
+                say(&format!(
+                    "refused: no store has room now, try again after {after} ms; {left} not taken"
+                ))?;
+                return Ok(false);
+            }
+            (None, None) => return Err(format!("{why}; {} not acknowledged", changes.len() - i)),
+        }
+    }
+    say("acknowledged changes are not lost while a majority of the stores lives, and reach every proxy; one that \
+         does not have them within the lease of 7 s knows so and goes out of service")?;
+    Ok(true)
+}
+
+/// A change by the words of `submit`: topic, store and number.
+fn named(change: &str) -> Result<(StreamId, u64), String> {
+    let wrong = || format!("{change}: a change like 0.2.17 is wanted, as submit prints it");
+    let mut parts = change.split('.');
+    let mut part = || parts.next().and_then(|p| p.parse::<u64>().ok()).ok_or_else(wrong);
+    let (topic, store, number) = (part()?, part()?, part()?);
+    let fits = topic < u64::from(dissemination::bounds::TOPICS) && store < settings::MOST as u64;
+    if parts.next().is_some() || !fits || !(1..=dissemination::bounds::NUMBER).contains(&number) {
+        return Err(wrong());
+    }
+    Ok((StreamId { topic: topic as u8, store: ControlId(store as u8) }, number))
+}
+
+/// What the first control machine that answers says of a change, with all that it names.
+fn told(machines: &mut [Machine], (stream, number): (StreamId, u64)) -> Result<Told, String> {
+    let mut why = String::new();
+    for machine in machines {
+        let mut ask = |from| {
+            let question = Message::Status { token: 1, stream, number, from };
+            machine.ask(&question, |answer| match answer {
+                Message::Told(told) => Some(told),
+                _ => None,
+            })
+        };
+        let mut told = match ask(FollowerId(0)) {
+            Ok(told) => told,
+            Err(what) => {
+                why = what;
+                continue;
+            }
+        };
+        // Where more are missing than one answer holds.
+        while let Some(FollowerId(last)) =
+            told.missing.last().copied().filter(|_| (told.missing.len() as u32) < told.followers - told.have)
+        {
+            let Some(from) = last.checked_add(1) else { break };
+            match ask(FollowerId(from)) {
+                Ok(more) if !more.missing.is_empty() => told.missing.extend(more.missing),
+                _ => break,
+            }
+        }
+        return Ok(told);
+    }
+    Err(why)
+}
+
+fn names(followers: Option<&str>) -> Result<BTreeMap<FollowerId, String>, String> {
+    followers.map_or_else(|| Ok(BTreeMap::new()), |path| settings::roster(Path::new(path)))
+}
+
+fn list(of: &[FollowerId], names: &BTreeMap<FollowerId, String>) -> String {
+    let name = |id: &FollowerId| names.get(id).cloned().unwrap_or_else(|| format!("{:016x}", id.0));
+    of.chunks(NAMES)
+        .map(|some| some.iter().map(name).collect::<Vec<_>>().join(" "))
+        .collect::<Vec<_>>()
+        .join("\n  ")
+}
+
+/// Whether every proxy that serves has it.
+fn done(told: &Told) -> bool {
+    told.all() || (told.committed && told.lapsed)
+}
+
+fn show(change: &str, told: &Told, names: &BTreeMap<FollowerId, String>) -> Result<(), String> {
+    let Told { committed, since, followers, have, .. } = told;
+    match committed {
+        true => say(&format!(
+            "change {change}: a majority of the stores has it, known for {:.1} s",
+            f64::from(*since) / 1000.0
+        ))?,
+        false => say(&format!("change {change}: no majority of the stores is known to have it"))?,
+    }
+    say(&format!("{have} of {followers} proxies are known to have it"))?;
+    if !told.missing.is_empty() {
+        say(&format!("not known to have it:\n  {}", list(&told.missing, names)))?;
+    }
+    if told.lapsed && have < followers {
+        say("the lease has passed since: those not known to have it are out of service")?;
+    }
+    if !told.refused.is_empty() {
+        say(&format!("have it and could not put it in force:\n  {}", list(&told.refused, names)))?;
+    }
+    if !told.unheard.is_empty() {
+        let unheard: Vec<String> = told.unheard.iter().map(|c| c.0.to_string()).collect();
+        say(&format!("control machines not heard: {}", unheard.join(" ")))?;
+    }
+    Ok(())
+}
+
+fn status(followers: Option<&str>, change: &str, addresses: &[String]) -> Done {
+    let (names, of) = (names(followers)?, named(change)?);
+    let told = told(&mut Machine::all(addresses)?, of)?;
+    show(change, &told, &names)?;
+    Ok(done(&told))
+}
+
+fn wait(most: f64, followers: Option<&str>, change: &str, addresses: &[String]) -> Done {
+    let (names, of) = (names(followers)?, named(change)?);
+    let most = Duration::try_from_secs_f64(most).map_err(|_| "--for wants seconds".to_owned())?;
+    let until = Instant::now().checked_add(most).ok_or("--for wants seconds")?;
+    let mut machines = Machine::all(addresses)?;
+    loop {
+        // Asked again also where nobody answers: a control machine may be starting.
+        let told = told(&mut machines, of);
+        let over = Instant::now() >= until;
+        match told {
+            Ok(told) if over || done(&told) => {
+                show(change, &told, &names)?;
+                return Ok(done(&told));
+            }
+            Err(why) if over => return Err(why),
+            Ok(_) | Err(_) => std::thread::sleep(AGAIN.min(until.saturating_duration_since(Instant::now()))),
+        }
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -8,7 +8,9 @@
 //! like any other: in one message on standard error, with exit status 1. Help that is asked for goes to standard
 //! output, with exit status 0: clap makes it of the comments on the options, of which each has one line.
 
+mod change;
 mod checkaddr;
+mod control;
 mod figurestest;
 mod mget;
 mod plan;
@@ -30,6 +32,9 @@
        martenweir figurestest [FILE]
        martenweir planner --conf FILE [CONFIG]
        martenweir plan show ADDRESS [--json] [--config CONFIG]
+       martenweir control --conf FILE [CONFIG]
+       martenweir change submit WHAT ADDRESS...
+       martenweir change status|wait CHANGE ADDRESS...
        martenweir snmp get|walk [WHO] ADDRESS [NAME ...]
        martenweir snmp listen [WHO] ADDRESS";
 /// What a usage error says besides.
@@ -41,6 +46,9 @@
 figurestest: sends one of each figure where FILE says, or to standard error.
 planner: tells proxies what all of them see, on the plannerport of FILE; docs/planners.md says how.
 plan show: prints the plan as the planner at ADDRESS has it.
+control: carries changes to proxies, on the controlport of FILE; docs/dissemination.md says how.
+change: gives a change to the control machines at ADDRESS..., or tells which proxies have it. WHAT is --purge KEY ... or
+--setting LINE ... or --reset NAME; CHANGE is as submit prints it.
 snmp: asks the agent at ADDRESS for objects, or prints notifications that come to ADDRESS. WHO is --community NAME,
 or --user NAME with --conf FILE or --auth sha256 --auth-pass WORDS [--priv-pass WORDS].";
 /// The form of all help: usage in the words of its errors.
@@ -76,6 +84,9 @@
     Planner(planner::Options),
     #[command(disable_help_subcommand = true)]
     Plan(plan::Options),
+    Control(control::Options),
+    #[command(disable_help_subcommand = true)]
+    Change(change::Options),
     Snmp(snmp::Options),
 }
 
@@ -91,6 +102,8 @@
             Command::Figurestest(options) => figurestest::run(&options),
             Command::Plan(options) => plan::run(&options),
             Command::Planner(options) => return planner::run(&options),
+            Command::Control(options) => return control::run(&options),
+            Command::Change(options) => return change::run(&options),
             Command::Snmp(options) => snmp::run(&options),
         },
         Err(error) => match error.kind() {
@@ -128,6 +141,8 @@
         Some("figurestest") => figurestest::USAGE,
         Some("planner") => planner::USAGE,
         Some("plan") => plan::USAGE,
+        Some("control") => control::USAGE,
+        Some("change") => change::USAGE,
         Some("snmp") => snmp::USAGE,
         _ => "",
     };
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -106,6 +106,11 @@
         ("planner", vec!["--conf <FILE>", "--log-format <FORMAT>", "[CONFIG]"]),
         ("plan", vec![]),
         ("plan show", vec!["--json", "--config <CONFIG>", "<ADDRESS>"]),
+        ("control", vec!["--conf <FILE>", "--log-format <FORMAT>", "[CONFIG]"]),
+        ("change", vec![]),
+        ("change submit", vec!["--purge <KEY>", "--setting <LINE>", "--reset <NAME>", "<ADDRESSES>..."]),
+        ("change status", vec!["--followers <FILE>", "<CHANGE>", "<ADDRESSES>..."]),
+        ("change wait", vec!["--for <SECONDS>", "--followers <FILE>", "<CHANGE>", "<ADDRESSES>..."]),
         ("snmp", vec![]),
         ("snmp get", snmp(&["[NAMES]..."])),
         ("snmp walk", snmp(&["[NAMES]..."])),
@@ -176,6 +181,35 @@
 #[case::planner_without_a_port(&["planner", "--conf", CONF], "martenweir: planner: examples/martenweir.conf: no ")]
 #[case::plan(&["plan"], "martenweir: usage: martenweir plan show ADDRESS [--json] [--config CONFIG]\n")]
 #[case::plan_of_nobody(&["plan", "show", NOBODY], "martenweir: plan: 127.0.0.1:1: ")]
+#[case::control(&["control"], "martenweir: usage: martenweir control --conf FILE ")]
+#[case::control_without_a_port(&["control", "--conf", CONF], "martenweir: control: examples/martenweir.conf: no controlport\n")]
+#[case::change(&["change"], "martenweir: usage: martenweir change submit --purge KEY ...|--setting LINE ...|--reset NAME ADD")]
+#[case::submit_to_nobody(&["change", "submit", "--purge", "a", NOBODY], "martenweir: change: 127.0.0.1:1: ")]
+#[case::submit_to_none(&["change", "submit", "--purge", "a"], "martenweir: usage: martenweir change submit ")]
+#[case::submit_of_nothing(&["change", "submit", NOBODY], "martenweir: change: nothing to submit: --purge, --setting ")]
+#[case::submit_of_two(
+    &["change", "submit", "--setting", "tapport 1", "--setting", "tapsample 1", NOBODY],
+    "martenweir: change: the lines are not about one setting\n"
+)]
+#[case::submit_of_two_kinds(
+    &["change", "submit", "--purge", "a", "--reset", "tapport", NOBODY],
+    "martenweir: usage: martenweir change submit "
+)]
+#[case::submit_to_a_name(&["change", "submit", "--purge", "a", "nobody"], "martenweir: change: nobody: not an address ")]
+#[case::status_of_what_is_none(
+    &["change", "status", "0.64.1", NOBODY],
+    "martenweir: change: 0.64.1: a change like 0.2.17 is wanted, as submit prints it\n"
+)]
+#[case::status_of_nobody(&["change", "status", "0.2.17", NOBODY], "martenweir: change: 127.0.0.1:1: ")]
+#[case::wait_of_nobody(&["change", "wait", "--for", "0", "0.2.17", NOBODY], "martenweir: change: 127.0.0.1:1: ")]
+#[case::wait_for_what_is_no_time(
+    &["change", "wait", "--for", "-1", "0.2.17", NOBODY],
+    "martenweir: usage: martenweir change submit "
+)]
+#[case::followers_of_no_file(
+    &["change", "status", "--followers", "/none", "0.2.17", NOBODY],
+    "martenweir: change: /none: No such file"
+)]
 #[case::figurestest_of_no_file(&["figurestest", "/none"], "martenweir: /none: No such file")]
 fn what_is_asked_wrongly_is_told_on_standard_error_with_status_1(#[case] words: &[&str], #[case] told: &str) {
     let end = program().args(words).output().expect("it runs");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -604,6 +604,30 @@
     "planner 127.0.0.1:1\nplanner 127.0.0.1:1",
     Some(":2: planner: 127.0.0.1:1 is named twice")
 )]
+#[case::controls(
+    "control 127.0.0.1:7500 eu/z1/s1\ncontrol [::1]:7500 eu/z2/s2\ncontrolplace eu/z1/s1\ncontrolstores 2\n\
+     controlepoch 3\ncontrolport 0\ncontrolnumber 1\ncontrolstore /var/lib/a b\nfollowers /etc/f",
+    None
+)]
+#[case::control(
+    "control 127.0.0.1:7500",
+    Some(":1: control: an address and a place, like 127.0.0.1:7500 REGION/ZONE/SITE, is wanted")
+)]
+#[case::control_place(
+    "control 127.0.0.1:7500 eu/z1",
+    Some(":1: control: an address and a place, like 127.0.0.1:7500 REGION/ZONE/SITE, is wanted")
+)]
+#[case::control_twice(
+    "control 127.0.0.1:1 a/b/c\ncontrol 127.0.0.1:1 a/b/d",
+    Some(":2: control: 127.0.0.1:1 is named twice")
+)]
+#[case::own_place("controlplace a//c", Some(":1: controlplace: a place like REGION/ZONE/SITE is wanted"))]
+#[case::stores("controlstores 0", Some(":1: controlstores: a whole number from 1 to 64 is wanted"))]
+#[case::more_stores_than_controls(
+    "control 127.0.0.1:1 a/b/c\ncontrolstores 2",
+    Some(": controlstores: 2, but there are 1 control lines")
+)]
+#[case::epoch("controlepoch 1\ncontrolepoch 2", Some(":2: controlepoch: set twice"))]
 #[case::twice("multigetport 1\nmultigetport 1", Some(":2: multigetport: set twice"))]
 #[case::memcached(
     "memcacheport 0\nmemcachetenant nordurbanki\nmemcachenodes id s-1\nmemcachenodes kind half-node",
