--- a/src/commands/change.rs
+++ b/src/commands/change.rs
@@ -287,10 +287,12 @@
     for machine in machines {
         let mut ask = |from| {
             let question = Message::Status { token: 1, stream, number, from };
-            machine.ask(&question, |answer| match answer {
-                Message::Told(told) => Some(told),
+            let answer = machine.ask(&question, |answer| match answer {
+                Message::Told(told) => Some(Some(told)),
+                Message::Busy { .. } => Some(None),
                 _ => None,
-            })
+            });
+            answer?.ok_or_else(|| "too many ask at once".to_owned())
         };
         let mut told = match ask(FollowerId(0)) {
             Ok(told) => told,
