--- a/crates/dissemination/src/follower.rs
+++ b/crates/dissemination/src/follower.rs
@@ -561,9 +561,7 @@
         if epoch > self.epoch {
             let streams: Vec<StreamId> = self.heads.keys().copied().collect();
             self.epoch = epoch;
-            if !self.rules.is(Planted::OldEpoch) {
-                self.anew(&streams, out);
-            }
+            self.anew(&streams, out);
             // The others are told as well: they may hold the new epoch, or say that they do not.
             self.greet_all(now, out);
         }
--- a/crates/dissemination/src/rules.rs
+++ b/crates/dissemination/src/rules.rs
@@ -31,8 +31,6 @@
     Gaps,
     /// A follower takes a piece whatever its digest.
     NoDigest,
-    /// A follower holds on to what it had in an older epoch.
-    OldEpoch,
     /// A count names followers as having what they were sent, not what they confirmed.
     CountsSent,
 }
--- a/crates/dissemination/tests/follower.rs
+++ b/crates/dissemination/tests/follower.rs
@@ -2,7 +2,10 @@
 
 mod world;
 
-use dissemination::{ControlId, FollowerId, Head, Kept, Rules, StreamId};
+use dissemination::rules::Planted;
+use dissemination::{
+    follower, Content, ControlId, Follower, FollowerId, Head, Kept, Message, Piece, Record, Rules, StreamId,
+};
 use rstest::rstest;
 use std::rc::Rc;
 use world::{body, rules, World};
@@ -76,22 +79,20 @@
     assert_eq!(world.applied[1].stale, 1);
 }
 
-#[test]
-fn a_higher_epoch_makes_all_before_stale_and_a_lower_one_is_refused() {
+/// Three stores in epoch 1, restored from an old copy without the last two changes of each stream: two of them begin
+/// in epoch 2, one is forgotten.
+fn restored() -> World {
     let mut world = started(2);
-    let before: Vec<u64> = world.applied.iter().map(|a| a.stale).collect();
-    assert_eq!(before, [0, 0]);
-    // Restored from an old copy: two changes less of each.
+    let kept: Vec<Kept> = (0..2).map(|f| world.kill_follower(f)).collect();
     (0..3).for_each(|c| world.kill_control(c));
-    let new = Rules { epoch: 2, ..world.rules.clone() };
-    let old = std::mem::replace(&mut world.rules, new);
+    for (f, kept) in kept.into_iter().enumerate() {
+        world.start_follower(f, Some(kept));
+    }
     // What the operators have given up is gone: its numbers are given again.
     world.acknowledged.retain(|at, _| at.1 <= 4);
     world.seen.retain(|at, _| at.1 <= 4);
-    let keep = |r: &dissemination::Record| !matches!(r, dissemination::Record::Change(c, _) if c.number > 4);
+    let keep = |r: &Record| !matches!(r, Record::Change(c, _) if c.number > 4);
     world.disks.iter_mut().for_each(|d| d.retain(keep));
-    // One of them was forgotten: it stays in the old epoch.
-    world.rules = old;
     world.start_control(2);
     world.rules.epoch = 2;
     world.liars = true;
@@ -104,6 +105,12 @@
     world.run(60);
     assert!(world.acknowledged.contains_key(&(SET, 5)));
     world.judge_whole();
+    world
+}
+
+#[test]
+fn a_higher_epoch_makes_all_before_stale_and_a_lower_one_is_refused() {
+    let world = restored();
     assert_eq!(world.verdict, Ok(()));
     for f in 0..2 {
         let follower = world.followers[f].as_ref().expect("it runs");
@@ -113,6 +120,57 @@
     assert!(world.errors.iter().any(|e| e.contains("epoch 1 is not in force here")), "{:?}", world.errors);
 }
 
+/// A follower is made to begin a stream anew while changes go on: what was on the way then leaves a gap.
+#[test]
+fn one_that_begins_anew_while_changes_go_on_applies_them_in_order() {
+    let mut world = started(2);
+    let mut kept = world.kill_follower(0);
+    kept.heads.iter_mut().filter(|h| h.0 == SET).for_each(|h| h.1.digest ^= 1);
+    world.start_follower(0, Some(kept));
+    for token in 100..160 {
+        world.submit(0, 0, 0, token);
+        world.run(1);
+    }
+    world.run(60);
+    world.judge_whole();
+    assert_eq!(world.verdict, Ok(()));
+}
+
+/// What a follower applies of three pieces, of which the second comes last.
+fn fed(planted: Option<Planted>) -> Vec<u64> {
+    let mut follower = Follower::new(0, rules(2, 2, planted), FollowerId(1), vec![ControlId(0)], None, 1)
+        .expect("sound rules");
+    let mut out = vec![];
+    follower.tick(1, &mut out);
+    follower.up(2, ControlId(0), &mut out);
+    let welcome = Message::Welcome { epoch: 1, control: ControlId(0) };
+    let heads: Vec<Head> = (1..=3u8)
+        .scan(Head::default(), |h, b| {
+            *h = h.then(0, &[b]);
+            Some(*h)
+        })
+        .collect();
+    let piece = |n: u8| {
+        let content = Content::Bodies(vec![Rc::from([n])]);
+        let (after, digest) = (u64::from(n) - 1, heads[usize::from(n) - 1].digest);
+        Message::Batch(vec![Piece { stream: SET, after, digest, content }])
+    };
+    for message in [welcome, piece(1), piece(3), piece(2), piece(3)] {
+        follower.message(3, ControlId(0), &message, &mut out).expect("sound words");
+    }
+    let applied = |o: follower::Output| match o {
+        follower::Output::Apply(piece) => Some(piece.upto()),
+        _ => None,
+    };
+    out.into_iter().filter_map(applied).collect()
+}
+
+#[test]
+fn nothing_is_applied_over_a_gap() {
+    assert_eq!(fed(None), [1, 2, 3]);
+    assert_eq!(fed(Some(Planted::Gaps)), [1, 3], "the guard is what keeps it so");
+}
+
 #[test]
 fn one_without_any_way_to_the_stores_leaves_service_by_itself_and_comes_back() {
     let mut world = started(1);
--- a/crates/dissemination/tests/world/mod.rs
+++ b/crates/dissemination/tests/world/mod.rs
@@ -18,6 +18,9 @@
 
 pub const HOP: Micros = 20_000;
 
+/// A change's place.
+pub type At = (StreamId, u64);
+
 /// Short times, in hops; the relations are those of the defaults.
 pub fn rules(controls: u8, stores: u8, planted: Option<Planted>) -> Rules {
     let rules = Rules {
@@ -130,7 +133,7 @@
     dials: Vec<(End, ControlId)>,
     submitted: BTreeMap<u32, Rc<[u8]>>,
     /// What was acknowledged, and when.
-    pub acknowledged: BTreeMap<(StreamId, u64), (Rc<[u8]>, Micros)>,
+    pub acknowledged: BTreeMap<At, (Rc<[u8]>, Micros)>,
     pub busy: Vec<(u32, u32)>,
     pub told: Vec<Told>,
     /// The bodies that any follower applied, the first time.
