--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -5,6 +5,7 @@
 //! measured speed goes to the terminal and the page only.
 
 pub mod html;
+pub mod page;
 pub mod plot;
 pub mod result;
 pub mod run;
