Hold each number of the capacity page against the files that it comes from

Need: a page of figures drifts from the runs that gave them. What rests on no run carries a sign that the check holds as well.

--- a/crates/lab/src/report/page/tables.rs
+++ b/crates/lab/src/report/page/tables.rs
@@ -6,7 +6,7 @@
 //! | `known` | what no test measured, with its source |
 
 use super::figures::{best, Figures, Known};
-use super::shown::{shown, Unit};
+use super::shown::{shown, Unit, ASSUMED};
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write;
@@ -41,47 +41,52 @@
     );
     for probe in file["probes"].as_array()? {
         let unit = Unit::deserialize(&probe["unit"]).ok()?;
-        let (name, kind, level) =
-            (probe["name"].as_str()?, probe["kind"].as_str()?, probe["level"].as_str()?);
+        let assumed = probe["assumed"].as_str();
         for (i, target) in probe["targets"].as_array()?.iter().enumerate() {
-            let value = shown(target["value"].as_f64()?, unit);
-            let first = i == 0;
-            let lead = if first { format!("`{name}` | {kind}, {level}") } else { " | ".to_owned() };
-            let fit = match (probe["assumed"].as_str(), best(probe)) {
-                (Some(from), _) if first => format!("assumed: {from} | | | "),
-                (Some(_), _) => " | | | ".to_owned(),
-                (None, _) if !first => " | | | ".to_owned(),
-                (None, fit) => {
-                    let fit = fit?;
-                    let close: Vec<&str> =
-                        probe["close"].as_array()?.iter().filter_map(Value::as_str).collect();
-                    let or =
-                        if close.is_empty() { String::new() } else { format!(" (or {})", close.join(", ")) };
-                    let form = fit["form"].as_str()?;
-                    let slope = match form {
-                        "flat" => String::new(),
-                        _ => shown(fit["slope"].as_f64()?, unit),
-                    };
-                    let residual = shown(fit["relative"].as_f64()?, Unit::Part);
-                    format!("{form}{or} | {slope} | {residual} | {}", sizes(&probe["largest"])?)
-                }
+            let number = |key: &str| Some(shown(target[key].as_f64()?, unit));
+            // What is true of all sizes stands in the first row.
+            let [name, form, slope, residual, largest] = match i {
+                0 => lead(probe, unit)?,
+                _ => Default::default(),
             };
-            let (size, factor) = (sizes(&target["size"])?, target["factor"].as_f64());
-            let interval = match probe["assumed"].is_null() {
-                true => {
-                    let (low, high) = (target["low"].as_f64()?, target["high"].as_f64()?);
-                    format!("{} to {}", shown(low, unit), shown(high, unit))
-                }
-                false => String::new(),
+            let (size, mut value) = (sizes(&target["size"])?, number("value")?);
+            value.extend(assumed.map(|_| ASSUMED));
+            let (factor, interval) = match assumed {
+                Some(_) => (String::new(), String::new()),
+                None => (
+                    shown(target["factor"].as_f64()?, Unit::Count),
+                    format!("{} to {}", number("low")?, number("high")?),
+                ),
             };
-            let factor = factor.filter(|_| probe["assumed"].is_null());
-            let factor = factor.map_or(String::new(), |f| shown(f, Unit::Count));
-            writeln!(out, "| {lead} | {fit} | {size} | {factor} | {value} | {interval} |").ok()?;
+            let kind = match i {
+                0 => format!("{}, {}", probe["kind"].as_str()?, probe["level"].as_str()?),
+                _ => String::new(),
+            };
+            let cells = [name, kind, form, slope, residual, largest, size, factor, value, interval];
+            writeln!(out, "| {} |", cells.join(" | ")).ok()?;
         }
     }
     Some(out)
 }
 
+/// Name, form, slope, residual and the largest run of a probe.
+fn lead(probe: &Value, unit: Unit) -> Option<[String; 5]> {
+    let name = format!("`{}`", probe["name"].as_str()?);
+    if let Some(from) = probe["assumed"].as_str() {
+        return Some([name, format!("assumed: {from}"), String::new(), String::new(), String::new()]);
+    }
+    let fit = best(probe)?;
+    let form = fit["form"].as_str()?;
+    let slope = match form {
+        "flat" => String::new(),
+        _ => shown(fit["slope"].as_f64()?, unit),
+    };
+    let close: Vec<&str> = probe["close"].as_array()?.iter().filter_map(Value::as_str).collect();
+    let or = if close.is_empty() { String::new() } else { format!(" (or {})", close.join(", ")) };
+    let residual = shown(fit["relative"].as_f64()?, Unit::Part);
+    Some([name, format!("{form}{or}"), slope, residual, sizes(&probe["largest"])?])
+}
+
 fn known(all: &std::collections::BTreeMap<String, Known>) -> String {
     let mut out = String::from("| figure | value | from |\n| --- | ---: | --- |\n");
     for (name, known) in all {
