--- a/crates/lab/src/report/page/figures.rs
+++ b/crates/lab/src/report/page/figures.rs
@@ -1,7 +1,7 @@
 //! The figures that the page may name, and the files that they come from.
 //!
-//! `page.json` has what is `known` (a value, a unit and its source) and what is `worked` out of other figures. Every
-//! other file of the folder is a role of `lab capacity`. Names:
+//! `page.json` has what is `known` (a value, a unit and its source) and what is `worked` out of other figures. A file
+//! with a `role` is one of `lab capacity`; one with `dissemination`, here or in `fleet/`, is a run of a fleet in virtual time. Names:
 //!
 //! | name | figure |
 //! | --- | --- |
@@ -12,6 +12,8 @@
 //! | `ROLE.PROBE.largest.AXIS` | the largest size run |
 //! | `ROLE.PROBE.point.I` | the value of the point I, from 0 |
 //! | `ROLE.spread.SPREAD.median`, `.p99`, `.worst`, `.of` | times until all have it |
+//! | `run.FILE.KEY`, `run.FILE.KEY.PART` | of the run's `dissemination`, where the file is `FILE.json` |
+//! | `run.FILE.baseline.KEY`, `run.FILE.baseline.KEY.PART` | of what stands today, in the same run |
 
 use super::shown::{shown, Unit, ASSUMED};
 use serde::Deserialize;
@@ -21,6 +23,8 @@
 
 /// The file of what is known and worked out.
 const PAGE: &str = "page.json";
+/// The folder of fleets' runs.
+const FLEET: &str = "fleet";
 /// Figures that are worked out of each other: deeper is a circle.
 const DEEPEST: usize = 32;
 
@@ -119,6 +123,12 @@
         /// What it says.
         role: String,
     },
+    /// Neither a role nor a run.
+    #[error("{}: neither a role nor a run of a fleet", path.display())]
+    Kind {
+        /// Which.
+        path: PathBuf,
+    },
 }
 
 /// All figures of the folder.
@@ -130,6 +140,8 @@
     pub worked: BTreeMap<String, Worked>,
     /// Roles by name, as written.
     pub roles: BTreeMap<String, Value>,
+    /// Runs of fleets by the names of their files, as written.
+    pub runs: BTreeMap<String, Value>,
 }
 
 impl Figures {
@@ -149,21 +161,30 @@
         let page = folder.join(PAGE);
         let text = std::fs::read(&page).map_err(unread(&page))?;
         let PageFile { known, worked } = serde_json::from_slice(&text).map_err(unfit(&page))?;
-        let mut roles = BTreeMap::new();
-        for entry in std::fs::read_dir(folder).map_err(unread(folder))? {
-            let path = entry.map_err(unread(folder))?.path();
-            if path == page || path.extension().is_none_or(|e| e != "json") {
-                continue;
-            }
-            let role: Value = serde_json::from_slice(&std::fs::read(&path).map_err(unread(&path))?)
-                .map_err(unfit(&path))?;
-            let name = role["role"].as_str().unwrap_or_default().to_owned();
-            if path.file_stem().is_none_or(|stem| stem != name.as_str()) {
-                return Err(Error::Role { path, role: name });
+        let mut figures = Figures { known, worked, roles: BTreeMap::new(), runs: BTreeMap::new() };
+        let fleet = folder.join(FLEET);
+        for folder in [Some(folder), Some(&*fleet).filter(|f| f.is_dir())].into_iter().flatten() {
+            for entry in std::fs::read_dir(folder).map_err(unread(folder))? {
+                let path = entry.map_err(unread(folder))?.path();
+                if path != page && path.extension().is_some_and(|e| e == "json") {
+                    let text = std::fs::read(&path).map_err(unread(&path))?;
+                    let file: Value = serde_json::from_slice(&text).map_err(unfit(&path))?;
+                    figures.add(path, file)?;
+                }
             }
-            roles.insert(name, role);
         }
-        Ok(Figures { known, worked, roles })
+        Ok(figures)
+    }
+
+    fn add(&mut self, path: PathBuf, file: Value) -> Result<(), Error> {
+        let stem = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+        match file["role"].as_str() {
+            Some(role) if role == stem => self.roles.insert(stem, file),
+            Some(role) => return Err(Error::Role { role: role.to_owned(), path }),
+            None if file["dissemination"].is_object() => self.runs.insert(stem, file),
+            None => return Err(Error::Kind { path }),
+        };
+        Ok(())
     }
 
     /// The figure of a name.
@@ -230,6 +251,9 @@
         let unknown = || format!("no file has a figure {name:?}");
         let parts: Vec<&str> = name.split('.').collect();
         let [role, probe, field, ..] = parts[..] else { return Err(unknown()) };
+        if role == "run" {
+            return self.run(&parts[1..]).ok_or_else(unknown);
+        }
         if probe == "spread" {
             return self.spread(role, field, parts.get(3).copied().unwrap_or_default()).ok_or_else(unknown);
         }
@@ -261,6 +285,22 @@
         Ok(Figure { value, unit, assumed })
     }
 
+    fn run(&self, parts: &[&str]) -> Option<Figure> {
+        let (file, keys) = parts.split_first()?;
+        let file = self.runs.get(*file)?;
+        let (of, keys) = match keys.split_first()? {
+            (&"baseline", keys) => (&file["baseline"], keys),
+            _ => (&file["dissemination"], keys),
+        };
+        let (key, part) = match keys {
+            [key] => (key, None),
+            [key, part] => (key, Some(*part)),
+            _ => return None,
+        };
+        let value = part.map_or(&of[*key], |part| &of[*key][part]).as_f64()?;
+        Some(Figure { value, unit: run_unit(key, part), assumed: false })
+    }
+
     fn spread(&self, role: &str, spread: &str, part: &str) -> Option<Figure> {
         let all = self.roles.get(role)?["spreads"].as_array()?;
         let found = all.iter().find(|s| s["name"] == spread)?;
@@ -278,3 +318,18 @@
     let best = probe["best"].as_str()?;
     probe["fits"].as_array()?.iter().find(|f| f["form"] == best)
 }
+
+/// The unit of a key of a run, by the words of its name.
+pub fn run_unit(key: &str, part: Option<&str>) -> Unit {
+    let words = |any: &[&str]| any.iter().any(|w| key.contains(w));
+    match (key, part) {
+        (_, Some("of")) => Unit::Count,
+        (_, Some(_)) => Unit::Seconds,
+        _ if words(&["messages"]) => Unit::Rate,
+        _ if words(&["bytes", "busiest", "out_worst"]) => Unit::ByteRate,
+        _ if words(&["window_worst", "carried_worst", "heap"]) => Unit::Bytes,
+        _ if words(&["cpu"]) => Unit::Part,
+        _ if key.ends_with("_s") => Unit::Seconds,
+        _ => Unit::Count,
+    }
+}
--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -54,6 +54,19 @@
     })
 }
 
+/// A run of a fleet, with no more than the page wants of it.
+fn fleet_run(scenario: &str, proxies: u64, worst: f64) -> Value {
+    let times = json!({"of": 1900, "median": 0.25, "p999": 1.0, "worst": worst});
+    json!({
+        "dissemination": {
+            "scenario": scenario, "proxies": proxies, "seed": 1, "broken": {},
+            "everywhere": times, "known_all": times, "known": times, "not_everywhere": 0, "not_known": 0,
+            "proxy_bytes_per_s": 1612.5, "proxy_window_worst": 3800, "proxy_cpu": 0.0012, "proxy_heap": null, "were_out": 7, "out_s": 15.25
+        },
+        "baseline": {"proxy_bytes_per_s": 182_400.0, "without": 0, "age": times}
+    })
+}
+
 /// Figures as of files of our own.
 fn figures(value: f64) -> Figures {
     let known = |value, source: &str| Known { value, unit: Unit::Count, source: source.to_owned() };
@@ -87,6 +100,12 @@
         ]
         .into(),
         roles: [("planner".to_owned(), role(value))].into(),
+        runs: [
+            ("100-zone-1".to_owned(), fleet_run("zone", 100, 3.25)),
+            ("1000-zone-1".to_owned(), fleet_run("zone", 1000, 4.5)),
+            ("100-calm-1".to_owned(), fleet_run("calm", 100, 1.5)),
+        ]
+        .into(),
     }
 }
 
@@ -117,7 +136,8 @@
 
 #[test]
 fn filling_the_page_changes_nothing() {
-    assert_eq!(fill(&page(), &files()), Ok(page()));
+    // Not `assert_eq`, which would print the page twice.
+    assert!(fill(&page(), &files()) == Ok(page()), "run `cargo run -p lab --example capacity_page`");
 }
 
 /// Each digit of the page that is outside of comments, code and links' targets, changed alone, is noticed. Those of the
@@ -175,6 +195,13 @@
         tried += 1;
     }
     assert!(tried > 20, "{tried} values changed");
+    for name in files.runs.keys() {
+        let mut changed = files.clone();
+        let value =
+            &mut changed.runs.get_mut(name).expect("this run")["dissemination"]["everywhere"]["worst"];
+        *value = json!(value.as_f64().expect("a number") * 1.1 + 1.0);
+        assert!(!check(&page, &changed).is_empty(), "{name}");
+    }
     for (name, role) in &files.roles {
         for (p, probe) in role["probes"].as_array().expect("probes").iter().enumerate() {
             for t in 0..probe["targets"].as_array().expect("targets").len() {
@@ -219,6 +246,9 @@
 #[case::no_such_probe("<!--proxies-->", "<!--planner.bytes.users-->")]
 #[case::no_such_target("<!--proxies-->", "<!--planner.bytes_in_per_s.all-->")]
 #[case::no_such_spread("<!--proxies-->", "<!--planner.spread.none.worst-->")]
+#[case::no_such_run("<!--proxies-->", "<!--run.100-hang-1.everywhere.worst-->")]
+#[case::no_such_key_of_a_run("<!--proxies-->", "<!--run.100-zone-1.everywhere.least-->")]
+#[case::no_baseline("<!--proxies-->", "<!--run.100-zone-1.baseline.everywhere.worst-->")]
 #[case::a_circle("<!--proxies-->", "<!--circle-->")]
 #[case::no_number("<!--proxies-->", "<!--nothing-->")]
 #[case::no_such_table("table slopes", "table hills")]
@@ -257,6 +287,30 @@
     assert!(fill(SMALL, &none).is_err());
 }
 
+const FLEET: &str = "<!-- table fleet times -->
+| scenario | proxies | seed | changes | all have it: median | 99.9th part | worst | known that all have it: median | worst | known, or lapsed: worst | not everywhere | not known | rules broken |
+| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |
+| `calm` | 100 | 1 | 1,900 | 250 ms | 1 s | 1.5 s | 250 ms | 1.5 s | 1.5 s | 0 | 0 | none |
+| `zone` | 100 | 1 | 1,900 | 250 ms | 1 s | 3.25 s | 250 ms | 3.25 s | 3.25 s | 0 | 0 | none |
+| `zone` | 1,000 | 1 | 1,900 | 250 ms | 1 s | 4.5 s | 250 ms | 4.5 s | 4.5 s | 0 | 0 | none |
+<!-- end -->";
+
+#[test]
+fn runs_of_fleets_stand_by_scenario_and_size() {
+    let mut figures = figures(1.39e9);
+    assert_eq!(fill("<!-- table fleet times --><!-- end -->", &figures).as_deref(), Ok(FLEET));
+    assert_eq!(check(FLEET, &figures), vec![]);
+    figures.runs.get_mut("100-zone-1").expect("a run")["dissemination"]["broken"] = json!({"order": 2});
+    assert_eq!(check(FLEET, &figures).len(), 1, "a rule that a run broke is told");
+    figures.runs.get_mut("100-zone-1").expect("a run")["dissemination"]["everywhere"] = json!({});
+    assert_eq!(
+        fill(FLEET, &figures).expect_err("it lacks a key")[0].to_string(),
+        "line 1: 100-zone-1.json has no everywhere"
+    );
+    figures.runs.clear();
+    assert_eq!(fill(FLEET, &figures).as_deref(), Ok("<!-- table fleet times -->\nnot run\n<!-- end -->"));
+}
+
 #[test]
 fn what_rests_on_a_run_is_told_from_what_is_assumed() {
     let figures = figures(1.39e9);
@@ -275,6 +329,13 @@
 #[case("planner.bytes_in_per_s.largest.proxies", 458.0, Unit::Count)]
 #[case("planner.bytes_in_per_s.point.0", 4096.0, Unit::ByteRate)]
 #[case("planner.spread.all.of", 300.0, Unit::Count)]
+#[case("run.100-zone-1.everywhere.worst", 3.25, Unit::Seconds)]
+#[case("run.100-zone-1.everywhere.of", 1900.0, Unit::Count)]
+#[case("run.100-zone-1.out_s", 15.25, Unit::Seconds)]
+#[case("run.100-zone-1.were_out", 7.0, Unit::Count)]
+#[case("run.100-zone-1.proxy_window_worst", 3800.0, Unit::Bytes)]
+#[case("run.100-zone-1.proxy_cpu", 0.0012, Unit::Part)]
+#[case("run.100-zone-1.baseline.proxy_bytes_per_s", 182_400.0, Unit::ByteRate)]
 fn figures_by_name(#[case] name: &str, #[case] value: f64, #[case] unit: Unit) {
     assert_eq!(figures(1.39e9).get(name), Ok(Figure { value, unit, assumed: false }));
 }
@@ -336,4 +397,12 @@
     assert!(error.to_string().ends_with("core.json: its role is \"planner\""), "{error}");
     std::fs::write(folder.path().join("core.json"), "{").expect("written");
     assert!(Figures::read(folder.path()).is_err());
+    std::fs::write(folder.path().join("core.json"), "{}").expect("written");
+    assert!(Figures::read(folder.path()).is_err());
+    std::fs::remove_file(folder.path().join("core.json")).expect("removed");
+    std::fs::create_dir(folder.path().join("fleet")).expect("a folder");
+    let run = fleet_run("calm", 100, 1.5).to_string();
+    std::fs::write(folder.path().join("fleet/100-calm-1.json"), run).expect("written");
+    let figures = Figures::read(folder.path()).expect("a run and no role");
+    assert_eq!(figures.get("run.100-calm-1.everywhere.worst").map(|f| f.value), Ok(1.5));
 }
