--- a/crates/lab/src/report/page/tables.rs
+++ b/crates/lab/src/report/page/tables.rs
@@ -73,6 +73,12 @@
             writeln!(out, "| {} |", cells.join(" | ")).ok()?;
         }
     }
+    let bounds: Vec<&str> =
+        file["bounds"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+    if !bounds.is_empty() {
+        out.push('\n');
+        bounds.iter().for_each(|bound| out.push_str(&format!("- {bound}\n")));
+    }
     Some(out)
 }
 
@@ -84,14 +90,20 @@
     }
     let fit = best(probe)?;
     let form = fit["form"].as_str()?;
-    let slope = match form {
-        "flat" => String::new(),
+    let slope = match (form, fit["slope_n"].as_f64()) {
+        ("flat", _) => String::new(),
+        (_, Some(n)) => format!("{} n m, {} n", shown(fit["slope"].as_f64()?, unit), shown(n, unit)),
         _ => shown(fit["slope"].as_f64()?, unit),
     };
     let close: Vec<&str> = probe["close"].as_array()?.iter().filter_map(Value::as_str).collect();
     let or = if close.is_empty() { String::new() } else { format!(" (or {})", close.join(", ")) };
+    let capped = probe["capped"].as_object().filter(|c| !c.is_empty());
+    let up_to = match capped {
+        Some(_) => format!(", up to {}", sizes(&probe["capped"])?),
+        None => String::new(),
+    };
     let residual = shown(fit["relative"].as_f64()?, Unit::Part);
-    Some([name, format!("{form}{or}"), slope, residual, sizes(&probe["largest"])?])
+    Some([name, format!("{form}{or}{up_to}"), slope, residual, sizes(&probe["largest"])?])
 }
 
 fn known(all: &BTreeMap<String, Known>) -> String {
--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -273,6 +273,28 @@
     assert_eq!(check(&page, &figures(1.39e9)), vec![fault]);
 }
 
+/// A bound of the mechanism, an axis along which it grows no further, and a form of two slopes.
+#[test]
+fn what_bounds_a_quantity_stands_in_its_table() {
+    let mut figures = figures(1.39e9);
+    let planner = figures.roles.get_mut("planner").expect("a role");
+    planner["bounds"] = json!(["4,096 proxies at most"]);
+    let probe = &mut planner["probes"][0];
+    probe["capped"] = json!({"nodes": 256});
+    probe["best"] = json!("n + n m");
+    probe["fits"][1]["form"] = json!("n + n m");
+    probe["fits"][1]["slope_n"] = json!(7.5);
+    let filled = fill(SMALL, &figures).expect("a table");
+    for part in [
+        "| n + n m (or n), up to 256 nodes | 30.5 B/s n m, 7.5 B/s n |",
+        "\n\n- 4,096 proxies at most\n<!-- end -->",
+    ] {
+        assert!(filled.contains(part), "{part:?} in {filled}");
+    }
+    assert!(!check(SMALL, &figures).is_empty());
+    assert_eq!(check(&filled, &figures), vec![]);
+}
+
 #[test]
 fn filling_puts_the_files_figures_in() {
     let empty = SMALL.replace("1.39 GB/s of", " of").replace("458†", "12 ms");
