--- a/crates/cost/src/counting.rs
+++ b/crates/cost/src/counting.rs
@@ -1,6 +1,6 @@
 //! An allocator that counts for the thread that asks: allocations, and bytes held.
 //!
-//! Use it as the global allocator of a program or a test of this package alone: the proxy does without.
+//! Use it as the global allocator of a program that measures, or of a test: `cost` and `lab` do. The proxy does without.
 
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
--- /dev/null
+++ b/crates/lab/src/capacity/roles/mod.rs
@@ -0,0 +1,33 @@
+//! The roles, a file each. A new one has its file here and its line in [`all`].
+
+mod connections;
+mod core;
+mod discovery;
+mod forwarder;
+mod lists;
+mod planner;
+mod planning;
+
+use super::{Axis, Role, Size, Target, USERS};
+
+/// All roles, in the order of their output.
+pub fn all() -> Vec<Box<dyn Role>> {
+    vec![
+        Box::new(planner::Planner),
+        Box::new(forwarder::Forwarder),
+        Box::new(discovery::Discovery),
+        Box::new(core::Core),
+        Box::new(connections::Connections),
+    ]
+}
+
+/// The users' size along some axes.
+fn users<const N: usize>(axes: [Axis; N]) -> Target {
+    let along = |axis| match axis {
+        Axis::Proxies => USERS.proxies,
+        Axis::Nodes => USERS.nodes,
+        // All nodes of a zone: the largest change that is planned for.
+        Axis::Changes => USERS.nodes.div_ceil(USERS.zones),
+    };
+    ("users", Size::of(axes.map(|axis| (axis, along(axis)))))
+}
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -5,6 +5,7 @@
 //! proxy crashed, hung or leaked; 2 the command line, a file or the machine is at fault, said in one line on standard
 //! error.
 
+mod capacity;
 mod check;
 mod compare;
 mod cost;
@@ -53,6 +54,8 @@
     Fleet(fleet::Fleet),
     /// Measure what a request through the real proxy costs, beside one straight to a node
     Cost(cost::Cost),
+    /// Measure how each role of a fleet grows with its size
+    Capacity(capacity::Capacity),
 }
 
 /// What a command found; an error is another matter.
@@ -115,6 +118,7 @@
         Command::Replay(command) => command.carry_out(),
         Command::Demo(command) => command.carry_out(),
         Command::Cost(command) => command.carry_out(),
+        Command::Capacity(command) => command.carry_out(),
         Command::Fleet(command) => command.carry_out(),
     };
     match found {
--- a/crates/lab/src/commands/output.rs
+++ b/crates/lab/src/commands/output.rs
@@ -81,6 +81,11 @@
         Bar(bar)
     }
 
+    /// What runs now.
+    pub fn name(&self, what: &str) {
+        self.0.set_message(what.to_owned());
+    }
+
     /// One more run is over.
     pub fn one_more(&self) {
         self.0.inc(1);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,7 @@
 //! Experiments with the proxy in a world of our own: the parts of the program `lab`.
 //!
 //! [`host`] is where a scenario is played; [`fleet`] is many real processes and the faults between them; [`input`] reads what users hand in; [`experiment`] and [`search`] are
-//! what is made of many runs; [`report`] is what users get to see; [`commands`] put them together. Nothing in
+//! what is made of many runs; [`capacity`] is how a fleet grows with its size; [`report`] is what users get to see; [`commands`] put them together. Nothing in
 //! here is a model of the world: those are in the `world` package. `docs/lab.md` is the page for users.
 
 #![forbid(unsafe_code)]
@@ -10,6 +10,7 @@
 #[doc = include_str!("../../../docs/lab.md")]
 struct Page;
 
+pub mod capacity;
 pub mod commands;
 pub mod experiment;
 pub mod fleet;
--- a/crates/lab/src/loopback/mod.rs
+++ b/crates/lab/src/loopback/mod.rs
@@ -14,7 +14,7 @@
 mod fleet;
 mod host;
 pub mod scripted;
-mod settings;
+pub(crate) mod settings;
 pub mod socket;
 mod stage;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,10 @@
 use lab::loopback::children::guard;
 use std::process::ExitCode;
 
+/// Counts for `lab capacity`; two additions to cells of the thread for each allocation.
+#[global_allocator]
+static ALLOCATOR: cost::counting::Counting = cost::counting::Counting;
+
 fn main() -> ExitCode {
     // The proxies of a run on loopback are this same program, started by itself.
     guard::asked().unwrap_or_else(lab::commands::main)
