--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -125,6 +125,20 @@
     pub about: &'static str,
     pub unit: &'static str,
     pub kind: Kind,
+    /// An axis along which it does not grow beyond so much, by a bound of the mechanism: fits go by no more.
+    pub cap: Option<(Axis, u64)>,
+}
+
+impl Quantity {
+    /// One that grows along all axes.
+    pub const fn new(name: &'static str, about: &'static str, unit: &'static str, kind: Kind) -> Quantity {
+        Quantity { name, about, unit, kind, cap: None }
+    }
+
+    /// It does not grow beyond so much along an axis.
+    pub const fn capped(self, axis: Axis, most: u64) -> Quantity {
+        Quantity { cap: Some((axis, most)), ..self }
+    }
 }
 
 /// A size to work out a figure for, by name.
@@ -172,6 +186,8 @@
     pub level: Level,
     /// `n`, and `m` where there are two: each with the sizes that are run if none are told.
     pub axes: Vec<(Axis, Vec<u64>)>,
+    /// Sizes that are run beside the grid of these.
+    pub more: Vec<Size>,
     pub quantities: Vec<Quantity>,
     /// What figures are worked out for; the first is that of the users.
     pub targets: Vec<Target>,
@@ -222,8 +238,14 @@
 }
 
 impl Series {
-    /// All its sizes, smallest first, the last axis turning fastest.
-    pub fn grid(&self) -> Vec<Size> {
+    /// All its sizes: the grid, smallest first, the last axis turning fastest, and what is run beside it.
+    pub fn sizes(&self) -> Vec<Size> {
+        let mut sizes = self.grid();
+        sizes.extend(self.more.iter().cloned());
+        sizes
+    }
+
+    fn grid(&self) -> Vec<Size> {
         self.axes.iter().fold(vec![Size::default()], |sizes, (axis, values)| {
             let with = |size: Size| {
                 values.iter().map(move |v| {
--- a/crates/lab/src/capacity/roles/connections.rs
+++ b/crates/lab/src/capacity/roles/connections.rs
@@ -30,7 +30,7 @@
         let proxies = USERS.proxies as f64 / USERS.zones as f64;
         let nodes = USERS.nodes as f64 / USERS.zones as f64;
         let figure = |name, about, value| {
-            let quantity = Quantity { name, about, unit: "1", kind: Kind::Arithmetic };
+            let quantity = Quantity::new(name, about, "1", Kind::Arithmetic);
             let size = Size::of([(Axis::Proxies, USERS.proxies), (Axis::Nodes, USERS.nodes)]);
             Assumed { quantity, targets: vec![("users", size, value)], from: EVEN }
         };
--- a/crates/lab/src/capacity/roles/discovery.rs
+++ b/crates/lab/src/capacity/roles/discovery.rs
@@ -3,7 +3,7 @@
 use super::super::meter::{counted, counts, held, Taken};
 use super::super::result::Mechanism;
 use super::super::{Axis, Fault, Kind, Level, Measured, Quantity, Role, Series, Size};
-use super::{lists, users};
+use super::{halves, lists, users};
 use martenweir::codec::discovery::{object, Cluster, Objects, Piece, LINE};
 use martenweir::codec::http;
 use martenweir::settings::Site;
@@ -32,9 +32,9 @@
     }
 
     fn series(&self) -> Vec<Series> {
-        let quantity = |name, about, unit, kind| Quantity { name, about, unit, kind };
+        let quantity = Quantity::new;
         let level = Level::Virtual;
-        let nodes = vec![250, 500, 1000, 2000, 4200];
+        let nodes = halves().to_vec();
         let whole = vec![
             quantity("list_bytes", "A whole list in its chunk", "B", Kind::Count),
             quantity("parse_allocations", "Allocations while a whole list is read", "1", Kind::Count),
@@ -45,7 +45,10 @@
             vec![quantity("delta_bytes", "A change of so many nodes, in its chunk", "B", Kind::Count)];
         let all = "Answers with a whole list to all proxies together, from the first byte on";
         let at_once = vec![quantity("lists_at_once_bytes", all, "B", Kind::Count)];
-        let series = |axes, quantities, targets, run| Series { level, axes, quantities, targets, run };
+        let series = |axes, quantities, targets, run| {
+            let more = Vec::new();
+            Series { level, axes, more, quantities, targets, run }
+        };
         vec![
             series(vec![(Axis::Nodes, nodes.clone())], whole, vec![users([Axis::Nodes])], read_whole),
             series(
--- a/crates/lab/src/capacity/roles/forwarder.rs
+++ b/crates/lab/src/capacity/roles/forwarder.rs
@@ -3,7 +3,7 @@
 use super::super::meter::counted;
 use super::super::result::Mechanism;
 use super::super::{Axis, Fault, Kind, Level, Measured, Quantity, Role, Series, Size};
-use super::planning::{play, Fleet, Side};
+use super::planning::{play, Fleet, Side, TOLD_OF};
 use super::users;
 
 /// Forwarders of the run; a figure is that of one. What one hears and says does not depend on how many there are, but
@@ -35,9 +35,10 @@
     }
 
     fn series(&self) -> Vec<Series> {
-        let quantity = |name, about, unit, kind| Quantity { name, about, unit, kind };
+        let quantity = Quantity::new;
         let quantities = vec![
-            quantity("bytes_out_per_s", "Frames that it sends to one planner", "B/s", Kind::Count),
+            quantity("bytes_out_per_s", "Frames that it sends to one planner", "B/s", Kind::Count)
+                .capped(Axis::Nodes, TOLD_OF),
             quantity("bytes_in_per_s", "Frames that it hears of one planner", "B/s", Kind::Count),
             quantity("messages_out_per_s", "The same in messages", "1/s", Kind::Count),
             quantity("messages_in_per_s", "The same in messages", "1/s", Kind::Count),
@@ -51,7 +52,14 @@
             ),
         ];
         let axes = vec![(Axis::Nodes, vec![256, 512, 1024, 2048, 4096])];
-        vec![Series { level: Level::Virtual, axes, quantities, targets: vec![users([Axis::Nodes])], run }]
+        vec![Series {
+            level: Level::Virtual,
+            axes,
+            more: Vec::new(),
+            quantities,
+            targets: vec![users([Axis::Nodes])],
+            run,
+        }]
     }
 }
 
--- a/crates/lab/src/capacity/roles/mod.rs
+++ b/crates/lab/src/capacity/roles/mod.rs
@@ -23,6 +23,12 @@
     ]
 }
 
+/// Nodes up to the users' number, each half of the next: tables that grow in powers of two are as full at all of them.
+const fn halves() -> [u64; 5] {
+    let most = USERS.nodes;
+    [most / 16, most / 8, most / 4, most / 2, most]
+}
+
 /// The users' size along some axes.
 fn users<const N: usize>(axes: [Axis; N]) -> Target {
     let along = |axis| match axis {
--- a/crates/lab/src/capacity/roles/planning.rs
+++ b/crates/lab/src/capacity/roles/planning.rs
@@ -17,6 +17,8 @@
 const STEP: Micros = 50_000;
 /// Each forwarder asks each node twice a second: once in so many steps.
 const ASKS: usize = 10;
+/// Nodes of which a forwarder tells within the time between two requests to a node; of more, it tells of as many.
+pub const TOLD_OF: u64 = 2 * plan::bounds::LIVELY_A_SIGHT as u64;
 /// By then all are connected, and the planner has opinions ([`Rules::warm`] is 3.5 s).
 const WARM: Micros = 5 * SECOND;
 /// Time that is measured: eight sights and plans, two tellings of terms.
--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -83,7 +83,7 @@
                 (role, series)
             })
             .collect();
-        let runs = with_series.iter().flat_map(|(_, series)| series).map(|s| s.grid().len() as u64).sum();
+        let runs = with_series.iter().flat_map(|(_, series)| series).map(|s| s.sizes().len() as u64).sum();
         let bar = Bar::of_runs(runs, "capacity");
         let mut files = Vec::new();
         for (role, series) in with_series {
@@ -108,6 +108,7 @@
         for (axis, sizes) in &mut series.axes {
             if let Some(along) = self.sizes.iter().rev().find(|a| a.axis == *axis) {
                 sizes.clone_from(&along.sizes);
+                series.more.clear();
             }
         }
         series
@@ -121,7 +122,7 @@
             bar.one_more();
             Ok((size, measured))
         };
-        series.grid().into_iter().map(one).collect()
+        series.sizes().into_iter().map(one).collect()
     }
 
     fn write(&self, files: Vec<RoleFile>) -> Result<(), CommandError> {
--- a/crates/plan/src/join.rs
+++ b/crates/plan/src/join.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 
 /// Pairs of forwarder and node that a planner keeps.
-const PAIRS: usize = 1 << 20;
+pub const PAIRS: usize = 1 << 20;
 
 /// What a forwarder sees of a node.
 #[derive(Clone, Debug, Default)]
