Draw a fleet's geography: regions, zones, sites, proxies, control machines

The dissemination of changes is to be played at the users' size, where delays and what a fault takes down depend on places.

--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod facts;
 pub mod fleet;
 pub mod front;
+pub mod geography;
 pub mod ledger;
 pub mod network;
 pub mod node;
