--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 struct Page;
 
 pub mod commands;
+pub mod dissemination;
 pub mod experiment;
 pub mod fleet;
 pub mod host;
--- a/crates/lab/src/virtual_host/mod.rs
+++ b/crates/lab/src/virtual_host/mod.rs
@@ -13,7 +13,7 @@
 mod lobby;
 pub mod planned;
 pub mod planted;
-mod queue;
+pub mod queue;
 pub mod site;
 mod subject;
 
