--- a/crates/lab/examples/dissemination.rs
+++ b/crates/lab/examples/dissemination.rs
@@ -107,7 +107,10 @@
         d.wall_s,
         d.events as f64 / 1e6,
     );
-    println!("       closed {:?}", d.closed);
+    println!("       slowest {}; closed {:?}", d.slowest, d.closed);
+    for shown in &d.out_shown {
+        println!("       out at the end: {shown}");
+    }
     if let Some(b) = &measured.baseline {
         println!(
             "       today: age {:.2}/{:.2} s oldest {:.2}/{:.2} s without {} proxy {:.0} B/s",
--- a/crates/lab/src/dissemination/engine.rs
+++ b/crates/lab/src/dissemination/engine.rs
@@ -376,6 +376,13 @@
         self.judge.out()
     }
 
+    /// What a proxy's machine shows; for a line.
+    pub fn shown(&self, proxy: usize) -> String {
+        let p = &self.proxies[proxy];
+        let machine = p.machine.as_ref().map(|m| m.shown(p.clock.local(self.now)));
+        format!("proxy {proxy} at {:?}: {machine:?} links {:?}", p.spot, p.links)
+    }
+
     /// Ends the machines of proxies, and then those of control machines; `of` measures what each gives back.
     pub fn end(mut self, of: &dyn Fn(&mut dyn FnMut()) -> Option<u64>) -> (Option<u64>, Option<u64>) {
         self.links.clear();
--- a/crates/lab/src/dissemination/figures.rs
+++ b/crates/lab/src/dissemination/figures.rs
@@ -51,6 +51,7 @@
     pub submitted: Times,
     /// From acknowledgement until all in service have it, each change.
     pub everywhere: Times,
+    pub slowest: String,
     /// From acknowledgement to application, each change and proxy.
     pub applied: Times,
     /// From acknowledgement until a status said so: that all on the list have it, or that all have it or have lapsed.
@@ -82,6 +83,8 @@
     pub were_out: u64,
     pub out_at_once: u64,
     pub out_at_end: u64,
+    /// Some of those that are out at the end, as their machines show it.
+    pub out_shown: Vec<String>,
     pub marks: u64,
     pub stale: u64,
     /// Seconds of a core in a virtual second: one proxy's machine, one control machine's. Noisy.
@@ -145,6 +148,7 @@
         not_everywhere,
         submitted: Times::of(&world.submitted),
         everywhere: Times::of(&everywhere),
+        slowest: world.judge.slowest(from),
         applied: Times::of(&tally.applied),
         known_all: Times::of(&all),
         known: Times::of(&known),
@@ -167,6 +171,7 @@
         were_out: tally.were_out,
         out_at_once: tally.out_at_once,
         out_at_end: world.out() as u64,
+        out_shown: world.judge.out_names().into_iter().map(|n| world.shown(n)).collect(),
         marks: tally.marks,
         stale: tally.stale,
         proxy_cpu: world.meters[0].seconds() / whole / proxies,
--- a/crates/lab/src/dissemination/judge.rs
+++ b/crates/lab/src/dissemination/judge.rs
@@ -75,6 +75,8 @@
     acked: Option<Micros>,
     /// When all in service had it; none while one has not.
     everywhere: Option<Micros>,
+    /// The last proxy.
+    last: usize,
 }
 
 /// One log as it really is.
@@ -300,7 +302,7 @@
         match number.cmp(&next) {
             std::cmp::Ordering::Equal => {
                 let body = body.clone();
-                truth.numbered.push(Numbered { key, body, acked: None, everywhere: None });
+                truth.numbered.push(Numbered { key, body, acked: None, everywhere: None, last: 0 });
                 if self.kinds.get(usize::from(stream.topic)) == Some(&TopicKind::Register) {
                     truth.keys.entry(key).or_default().push(number);
                 }
@@ -364,14 +366,22 @@
         (p.have, p.epoch) = (have, position);
         p.stale.fill(0);
         p.owed.clear();
+        if p.out_since.is_none() {
+            p.out_since = Some(at);
+            self.tally.out_now += 1;
+        }
     }
 
     /// A proxy is down: it serves nothing, and is not counted as out of service either.
     pub fn ends(&mut self, at: Micros, proxy: usize) {
         self.service(at, proxy, false);
+        let from = self.from;
         let p = &mut self.proxies[proxy];
-        if p.out_since.take().is_some() {
+        if let Some(since) = p.out_since.take() {
             self.tally.out_now -= 1;
+            let span = (at - since.max(from)).max(0);
+            p.out += span;
+            self.tally.out_us += span;
         }
     }
 
@@ -420,6 +430,8 @@
         } else if p.out_since.is_none() {
             p.out_since = Some(at);
             self.tally.out_now += 1;
+        }
+        if at >= from {
             self.tally.out_at_once = self.tally.out_at_once.max(self.tally.out_now);
         }
         let epoch = p.epoch;
@@ -430,15 +442,15 @@
                 truth.enter(number);
             } else {
                 let (a, b) = truth.leave(number);
-                Self::spread(truth, at, a, b);
+                Self::spread(truth, at, proxy, a, b);
             }
         }
     }
 
     /// All in service have (a, b] from now on.
-    fn spread(truth: &mut Truth, at: Micros, a: u64, b: u64) {
+    fn spread(truth: &mut Truth, at: Micros, proxy: usize, a: u64, b: u64) {
         for n in truth.numbered.iter_mut().take(b as usize).skip(a as usize) {
-            n.everywhere = Some(at);
+            (n.everywhere, n.last) = (Some(at), proxy);
         }
     }
 
@@ -531,7 +543,7 @@
         if serves {
             truth.enter(upto);
             let (a, b) = truth.leave(has);
-            Self::spread(truth, at, a, b);
+            Self::spread(truth, at, proxy, a, b);
         }
         if measured {
             self.tally.applications += upto.saturating_sub(after);
@@ -663,6 +675,30 @@
         self.proxies.iter().filter(|p| p.refused > 0).count()
     }
 
+    /// The change that took the longest, and who had it last; for a line.
+    pub fn slowest(&self, from: Micros) -> String {
+        let all = self.epochs.iter().flat_map(|(epoch, truths)| truths.iter().enumerate().map(move |t| (epoch, t)));
+        let each = all.flat_map(|(epoch, (place, truth))| {
+            truth.numbered.iter().zip(1u64..).map(move |(n, number)| (epoch, place, n, number))
+        });
+        let took = |n: &Numbered| Some((n.everywhere? - n.acked.filter(|a| *a >= from)?).max(0));
+        let slowest = each.filter_map(|(e, place, n, number)| Some((took(n)?, e, place, n, number))).max_by_key(|s| s.0);
+        let Some((took, epoch, place, n, number)) = slowest else { return String::new() };
+        format!(
+            "{:.3} s: epoch {epoch}, {:?} {number} of {} bytes, acknowledged at {:.3} s, last at proxy {}",
+            took as f64 / 1e6,
+            self.stream(place),
+            n.body.len(),
+            n.acked.unwrap_or(0) as f64 / 1e6,
+            n.last
+        )
+    }
+
+    /// Proxies that are not in service, the first ones.
+    pub fn out_names(&self) -> Vec<usize> {
+        (0..self.proxies.len()).filter(|p| !self.proxies[*p].serves).take(5).collect()
+    }
+
     /// From the acknowledgement of a change until all in service had it, s.
     pub fn took(&self, stream: StreamId, number: u64) -> Option<f64> {
         let place = self.place(stream);
