--- a/crates/lab/src/dissemination/engine.rs
+++ b/crates/lab/src/dissemination/engine.rs
@@ -1189,6 +1189,10 @@
                 self.unanswered = 0;
                 let Some(at) = self.questions.remove(&told.token) else { return };
                 let now = self.now;
+                if told.unheard.len() > self.controls.len() / 2 {
+                    // It is cut off itself: another one is asked from now on.
+                    self.unanswered = u32::MAX / 2;
+                }
                 let Some(trace) = self.traces.get_mut(at) else { return };
                 trace.refused = trace.refused.max(told.refused.len());
                 if told.all() {
