--- a/crates/lab/examples/dissemination.rs
+++ b/crates/lab/examples/dissemination.rs
@@ -59,7 +59,8 @@
                     let d = &measured.dissemination;
                     let path = dir.join(format!("{}-{}-{}.json", d.proxies, d.scenario, d.seed));
                     let written = serde_json::to_string_pretty(&measured).map_err(|e| e.to_string());
-                    let written = written.and_then(|text| std::fs::write(&path, text).map_err(|e| e.to_string()));
+                    let written =
+                        written.and_then(|text| std::fs::write(&path, text).map_err(|e| e.to_string()));
                     if let Err(why) = written {
                         eprintln!("{}: {why}", path.display());
                         return ExitCode::from(2);
