--- a/crates/lab/src/capacity/hollow/mod.rs
+++ b/crates/lab/src/capacity/hollow/mod.rs
@@ -30,9 +30,9 @@
 /// Descriptors that a process has whatever it is for.
 const OWN: u64 = 128;
 /// Bytes that a hollow proxy takes by itself, and for each node, with room to spare (measured: docs/capacity/hollow.json).
-const EACH: u64 = 256 * 1024;
+const EACH: u64 = 128 * 1024;
 /// See [`EACH`].
-const EACH_NODE: u64 = 2_500;
+const EACH_NODE: u64 = 1_600;
 /// The most memory that a run may take: half of a machine of 24 GiB.
 const MEMORY: u64 = 12 << 30;
 /// A process that is not ready by then never is.
