--- a/crates/lab/src/capacity/roles/hollow.rs
+++ b/crates/lab/src/capacity/roles/hollow.rs
@@ -56,8 +56,7 @@
                 Kind::Time,
             ),
         ];
-        let axes =
-            vec![(Axis::Proxies, vec![16, 64, 128, 256]), (Axis::Nodes, vec![262, 1050, 2100, 4200])];
+        let axes = vec![(Axis::Proxies, vec![16, 64, 128, 256]), (Axis::Nodes, vec![262, 1050, 2100, 4200])];
         let targets = vec![users([Axis::Proxies, Axis::Nodes])];
         vec![Series { level: Level::Hollow, axes, more: Vec::new(), quantities, targets, run }]
     }
--- a/crates/lab/src/report/page/figures.rs
+++ b/crates/lab/src/report/page/figures.rs
@@ -11,7 +11,7 @@
 //! | `ROLE.PROBE.slope`, `.intercept` | of the form taken |
 //! | `ROLE.PROBE.largest.AXIS` | the largest size run |
 //! | `ROLE.PROBE.point.I` | the value of the point I, from 0 |
-//! | `ROLE.spread.SPREAD.median`, `.p99`, `.worst`, `.of` | times until all have it |
+//! | `ROLE.spread.SPREAD.median`, `.p99`, `.worst`, `.of` | times until all have it; with `.AXIS=SIZE` behind, where there are several sizes |
 //! | `run.FILE.KEY`, `run.FILE.KEY.PART` | of the run's `dissemination`, where the file is `FILE.json` |
 //! | `run.FILE.baseline.KEY`, `run.FILE.baseline.KEY.PART` | of what stands today, in the same run |
 
@@ -255,7 +255,8 @@
             return self.run(&parts[1..]).ok_or_else(unknown);
         }
         if probe == "spread" {
-            return self.spread(role, field, parts.get(3).copied().unwrap_or_default()).ok_or_else(unknown);
+            let [part, sizes @ ..] = &parts[3..] else { return Err(unknown()) };
+            return self.spread(role, field, part, sizes).ok_or_else(unknown);
         }
         let probe = self.probe(role, probe)?;
         let assumed = !probe["assumed"].is_null();
@@ -301,9 +302,17 @@
         Some(Figure { value, unit: run_unit(key, part), assumed: false })
     }
 
-    fn spread(&self, role: &str, spread: &str, part: &str) -> Option<Figure> {
+    fn spread(&self, role: &str, spread: &str, part: &str, sizes: &[&str]) -> Option<Figure> {
+        let of_size = |s: &Value| {
+            sizes.iter().all(|size| {
+                let (axis, size) = size.split_once('=').unwrap_or_default();
+                s["size"][axis].as_u64().is_some_and(|n| n.to_string() == size)
+            })
+        };
         let all = self.roles.get(role)?["spreads"].as_array()?;
-        let found = all.iter().find(|s| s["name"] == spread)?;
+        let mut found = all.iter().filter(|s| s["name"] == spread && of_size(s));
+        // One of several would be any of them.
+        let (found, None) = (found.next()?, found.next()) else { return None };
         let unit = match part {
             "median" | "p99" | "p999" | "worst" => Unit::deserialize(&found["unit"]).ok()?,
             "of" => Unit::Count,
--- a/crates/lab/src/report/page/tables.rs
+++ b/crates/lab/src/report/page/tables.rs
@@ -3,6 +3,7 @@
 //! | kind | |
 //! | --- | --- |
 //! | `slopes ROLE` | a row for each probe and size of a role; `not run` where there is no file |
+//! | `spreads ROLE` | a row for each spread of times of a role; `not run` where there is no file |
 //! | `known` | what no test measured, with its source |
 //! | `fleet times`, `fleet service`, `fleet proxy`, `fleet control`, `fleet today` | a row for each run of a fleet; `not run` where there is none |
 
@@ -23,6 +24,10 @@
             Some(file) => slopes(file).ok_or_else(|| format!("{role}.json is not of the schema")),
             None => Ok("not run\n".to_owned()),
         },
+        Some(("spreads", role)) => match figures.roles.get(role) {
+            Some(file) => spreads(file).ok_or_else(|| format!("{role}.json is not of the schema")),
+            None => Ok("not run\n".to_owned()),
+        },
         Some(("fleet", what)) => {
             let columns = COLUMNS.iter().find(|(name, ..)| *name == what);
             let (_, of, columns) = columns.ok_or_else(|| format!("there is no table {kind:?}"))?;
@@ -82,6 +87,21 @@
     Some(out)
 }
 
+fn spreads(file: &Value) -> Option<String> {
+    let mut out = String::from(
+        "| time | size | of | median | 99th part | worst |\n| --- | --- | ---: | ---: | ---: | ---: |\n",
+    );
+    for spread in file["spreads"].as_array()? {
+        let unit = Unit::deserialize(&spread["unit"]).ok()?;
+        let (about, size) = (spread["about"].as_str()?, sizes(&spread["size"])?);
+        let of = shown(spread["of"].as_f64()?, Unit::Count);
+        let number = |key: &str| Some(shown(spread[key].as_f64()?, unit));
+        let (median, p99, worst) = (number("median")?, number("p99")?, number("worst")?);
+        writeln!(out, "| {about} | {size} | {of} | {median} | {p99} | {worst} |").ok()?;
+    }
+    Some(out)
+}
+
 /// Name, form, slope, residual and the largest run of a probe.
 fn lead(probe: &Value, unit: Unit) -> Option<[String; 5]> {
     let name = format!("`{}`", probe["name"].as_str()?);
--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -50,7 +50,11 @@
             "targets": [{"name": "users", "size": {"proxies": 11000}, "factors": {}, "factor": 1.0, "value": 134.146, "low": 134.146, "high": 134.146}],
             "assumed": "11,000 over 82"
         }],
-        "spreads": [{"name": "all", "about": "", "size": {"proxies": 300}, "unit": "s", "median": 0.25, "p99": 0.5, "worst": 1.25, "of": 300}]
+    "spreads": [
+            {"name": "all", "about": "", "size": {"proxies": 300}, "unit": "s", "median": 0.25, "p99": 0.5, "worst": 1.25, "of": 300},
+            {"name": "some", "about": "Till some have it", "size": {"proxies": 30, "nodes": 4}, "unit": "s", "median": 0.25, "p99": 0.5, "worst": 1.5, "of": 30},
+            {"name": "some", "about": "Till some have it", "size": {"proxies": 30, "nodes": 8}, "unit": "s", "median": 0.25, "p99": 0.5, "worst": 2.5, "of": 30}
+        ]
     })
 }
 
@@ -203,6 +207,12 @@
         assert!(!check(&page, &changed).is_empty(), "{name}");
     }
     for (name, role) in &files.roles {
+        for s in 0..role["spreads"].as_array().map_or(0, Vec::len) {
+            let mut changed = files.clone();
+            let worst = &mut changed.roles.get_mut(name).expect("this role")["spreads"][s]["worst"];
+            *worst = json!(worst.as_f64().expect("a number") * 1.1);
+            assert!(!check(&page, &changed).is_empty(), "{name}, spread {s}");
+        }
         for (p, probe) in role["probes"].as_array().expect("probes").iter().enumerate() {
             for t in 0..probe["targets"].as_array().expect("targets").len() {
                 let mut changed = files.clone();
@@ -246,6 +256,11 @@
 #[case::no_such_probe("<!--proxies-->", "<!--planner.bytes.users-->")]
 #[case::no_such_target("<!--proxies-->", "<!--planner.bytes_in_per_s.all-->")]
 #[case::no_such_spread("<!--proxies-->", "<!--planner.spread.none.worst-->")]
+#[case::one_of_two_spreads("<!--proxies-->", "<!--planner.spread.some.worst-->")]
+#[case::one_of_two_spreads_by_one_axis("<!--proxies-->", "<!--planner.spread.some.worst.proxies=30-->")]
+#[case::a_spread_of_another_size("<!--proxies-->", "<!--planner.spread.all.worst.proxies=30-->")]
+#[case::a_spread_of_no_size("<!--proxies-->", "<!--planner.spread.all.worst.proxies-->")]
+#[case::a_spread_of_no_part("<!--proxies-->", "<!--planner.spread.all-->")]
 #[case::no_such_run("<!--proxies-->", "<!--run.100-hang-1.everywhere.worst-->")]
 #[case::no_such_key_of_a_run("<!--proxies-->", "<!--run.100-zone-1.everywhere.least-->")]
 #[case::no_baseline("<!--proxies-->", "<!--run.100-zone-1.baseline.everywhere.worst-->")]
@@ -309,6 +324,15 @@
     assert!(fill(SMALL, &none).is_err());
 }
 
+#[test]
+fn spreads_stand_in_a_table() {
+    let filled = fill("<!-- table spreads planner --><!-- end -->", &figures(1.39e9)).expect("a table");
+    let row = "\n| Till some have it | 8 nodes, 30 proxies | 30 | 250 ms | 500 ms | 2.5 s |\n";
+    assert!(filled.contains(row), "{filled}");
+    assert_eq!(check(&filled, &figures(1.39e9)), vec![]);
+    assert_eq!(check(&filled.replace("2.5 s", "2.6 s"), &figures(1.39e9)).len(), 1);
+}
+
 const FLEET: &str = "<!-- table fleet times -->
 | scenario | proxies | seed | changes | all have it: median | 99.9th part | worst | known that all have it: median | worst | known, or lapsed: worst | not everywhere | not known | rules broken |
 | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |
@@ -351,6 +375,9 @@
 #[case("planner.bytes_in_per_s.largest.proxies", 458.0, Unit::Count)]
 #[case("planner.bytes_in_per_s.point.0", 4096.0, Unit::ByteRate)]
 #[case("planner.spread.all.of", 300.0, Unit::Count)]
+#[case("planner.spread.all.worst.proxies=300", 1.25, Unit::Seconds)]
+#[case("planner.spread.some.worst.proxies=30.nodes=4", 1.5, Unit::Seconds)]
+#[case("planner.spread.some.worst.proxies=30.nodes=8", 2.5, Unit::Seconds)]
 #[case("run.100-zone-1.everywhere.worst", 3.25, Unit::Seconds)]
 #[case("run.100-zone-1.everywhere.of", 1900.0, Unit::Count)]
 #[case("run.100-zone-1.out_s", 15.25, Unit::Seconds)]
