--- a/crates/lab/src/capacity/roles/planning.rs
+++ b/crates/lab/src/capacity/roles/planning.rs
@@ -113,7 +113,8 @@
     fn traffic(&mut self) {
         let step = (self.now / STEP) as usize;
         for (f, forwarder) in self.real.iter_mut().enumerate() {
-            for (n, l) in self.listed.iter().enumerate().filter(|(n, _)| (n + f + step) % ASKS == 0) {
+            for (n, l) in self.listed.iter().enumerate().filter(|(n, _)| (n + f + step).is_multiple_of(ASKS))
+            {
                 let silent = n < SILENT && self.now > WARM;
                 forwarder.eyes().sent(self.now, l.node);
                 let verdict = if silent { Verdict::Timeout } else { Verdict::Served };
--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -73,9 +73,8 @@
             process(asked)?;
             return Ok(Finding::Good);
         }
-        let chosen =
-            |r: &Box<dyn Role>| self.role.is_empty() || self.role.iter().any(|name| name == r.name());
-        let roles: Vec<Box<dyn Role>> = roles::all().into_iter().filter(chosen).collect();
+        let chosen = |r: &dyn Role| self.role.is_empty() || self.role.iter().any(|name| name == r.name());
+        let roles: Vec<Box<dyn Role>> = roles::all().into_iter().filter(|r| chosen(&**r)).collect();
         let with_series: Vec<(Box<dyn Role>, Vec<Series>)> = roles
             .into_iter()
             .map(|role| {
--- a/crates/lab/src/dissemination/engine.rs
+++ b/crates/lab/src/dissemination/engine.rs
@@ -78,7 +78,7 @@
 impl Meter {
     fn run<R>(&mut self, call: impl FnOnce() -> R) -> R {
         self.calls += 1;
-        if self.calls % TIMED != 0 {
+        if !self.calls.is_multiple_of(TIMED) {
             return call();
         }
         let now = || {
@@ -362,9 +362,9 @@
         &self.traces
     }
 
-    /// The change of the largest size, and the one that is refused, as they were numbered.
-    pub fn marked(&self) -> (Option<(StreamId, u64)>, Option<(StreamId, u64)>) {
-        (self.largest, self.poison)
+    /// The change of the largest size, as it was numbered.
+    pub fn largest(&self) -> Option<(StreamId, u64)> {
+        self.largest
     }
 
     /// Proxies whose machine runs and that are not in service.
@@ -1313,9 +1313,9 @@
                     .controls
                     .iter()
                     .flat_map(|c| &c.disk)
-                    .filter_map(|r| match r {
-                        Record::Change(change, _) => Some((change.stream, change.number)),
-                        Record::Horizon(stream, head) => Some((*stream, head.number)),
+                    .map(|r| match r {
+                        Record::Change(change, _) => (change.stream, change.number),
+                        Record::Horizon(stream, head) => (*stream, head.number),
                     })
                     .fold(BTreeMap::new(), |mut ends, (stream, number)| {
                         let end: &mut u64 = ends.entry(stream).or_default();
--- a/crates/lab/src/dissemination/figures.rs
+++ b/crates/lab/src/dissemination/figures.rs
@@ -124,7 +124,7 @@
             }
         }
     }
-    let (largest, _) = world.marked();
+    let largest = world.largest();
     let largest_s = largest.and_then(|(stream, number)| world.judge.took(stream, number));
     let named = world.traces().iter().filter(|t| t.what == What::Refused).map(|t| t.refused).max();
     let tally = &world.judge.tally;
--- a/crates/lab/src/virtual_host/queue.rs
+++ b/crates/lab/src/virtual_host/queue.rs
@@ -47,9 +47,15 @@
     order: u64,
 }
 
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Queue { soon: BinaryHeap::new(), later: VecDeque::new(), first: 0, in_later: 0, order: 0 }
+    }
+}
+
 impl<T> Queue<T> {
     pub fn new() -> Self {
-        Queue { soon: BinaryHeap::new(), later: VecDeque::new(), first: 0, in_later: 0, order: 0 }
+        Queue::default()
     }
 
     pub fn plan(&mut self, at: Micros, what: T) {
