--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod capacity;
 pub mod commands;
+pub mod dissemination;
 pub mod experiment;
 pub mod fleet;
 pub mod host;
