--- a/crates/lab/src/report/page.rs
+++ b/crates/lab/src/report/page.rs
@@ -72,9 +72,11 @@
 /// The page in pieces, with the line of each; put together they are the page again.
 fn pieces(page: &str) -> Result<Vec<(usize, Piece<'_>)>, Fault> {
     let (mut all, mut at) = (vec![], 0);
+    let (mut line, mut counted) = (1, 0);
     while at < page.len() {
         let rest = &page[at..];
-        let line = 1 + page[..at].matches('\n').count();
+        line += page[counted..at].matches('\n').count();
+        counted = at;
         let open = |what| Fault::Open { line, what };
         if rest.starts_with("<!--") {
             let end = rest.find("-->").ok_or(open("a comment"))? + 3;
--- a/crates/lab/src/report/page/figures.rs
+++ b/crates/lab/src/report/page/figures.rs
@@ -1,7 +1,7 @@
 //! The figures that the page may name, and the files that they come from.
 //!
 //! `page.json` has what is `known` (a value, a unit and its source) and what is `worked` out of other figures. A file
-//! with a `role` is one of `lab capacity`; one with `dissemination`, here or in `fleet/`, is a run of a fleet in virtual time. Names:
+//! with a `role` is one of `lab capacity`, and may have `runs` of fleets in virtual time; one with `dissemination`, here or in `fleet/`, is such a run. Names:
 //!
 //! | name | figure |
 //! | --- | --- |
@@ -12,7 +12,7 @@
 //! | `ROLE.PROBE.largest.AXIS` | the largest size run |
 //! | `ROLE.PROBE.point.I` | the value of the point I, from 0 |
 //! | `ROLE.spread.SPREAD.median`, `.p99`, `.worst`, `.of` | times until all have it; with `.AXIS=SIZE` behind, where there are several sizes |
-//! | `run.FILE.KEY`, `run.FILE.KEY.PART` | of the run's `dissemination`, where the file is `FILE.json` |
+//! | `run.FILE.KEY`, `run.FILE.KEY.PART` | of the run's `dissemination`, where the file is `FILE.json`, or `PROXIES-SCENARIO-SEED` among a role's runs |
 //! | `run.FILE.baseline.KEY`, `run.FILE.baseline.KEY.PART` | of what stands today, in the same run |
 
 use super::shown::{shown, Unit, ASSUMED};
@@ -178,6 +178,12 @@
 
     fn add(&mut self, path: PathBuf, file: Value) -> Result<(), Error> {
         let stem = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+        for run in file["runs"].as_array().into_iter().flatten() {
+            let head = &run["dissemination"];
+            let all = (head["proxies"].as_u64(), head["scenario"].as_str(), head["seed"].as_u64());
+            let (Some(proxies), Some(scenario), Some(seed)) = all else { return Err(Error::Kind { path }) };
+            self.runs.insert(format!("{proxies}-{scenario}-{seed}"), run.clone());
+        }
         match file["role"].as_str() {
             Some(role) if role == stem => self.roles.insert(stem, file),
             Some(role) => return Err(Error::Role { role: role.to_owned(), path }),
--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -207,7 +207,9 @@
         assert!(!check(&page, &changed).is_empty(), "{name}");
     }
     for (name, role) in &files.roles {
-        for s in 0..role["spreads"].as_array().map_or(0, Vec::len) {
+        // Spreads of a role with runs are the runs' own, which have been changed above.
+        let spreads = role["spreads"].as_array().filter(|_| role["runs"].is_null());
+        for s in 0..spreads.map_or(0, Vec::len) {
             let mut changed = files.clone();
             let worst = &mut changed.roles.get_mut(name).expect("this role")["spreads"][s]["worst"];
             *worst = json!(worst.as_f64().expect("a number") * 1.1);
@@ -454,4 +456,13 @@
     std::fs::write(folder.path().join("fleet/100-calm-1.json"), run).expect("written");
     let figures = Figures::read(folder.path()).expect("a run and no role");
     assert_eq!(figures.get("run.100-calm-1.everywhere.worst").map(|f| f.value), Ok(1.5));
+    // Runs may come within a role as well; one that doesn't say which it is is refused.
+    let mut dissemination = json!({"role": "dissemination", "runs": [fleet_run("zone", 1000, 4.5)]});
+    let path = folder.path().join("dissemination.json");
+    std::fs::write(&path, dissemination.to_string()).expect("written");
+    let figures = Figures::read(folder.path()).expect("two runs");
+    assert_eq!(figures.get("run.1000-zone-1.everywhere.worst").map(|f| f.value), Ok(4.5));
+    dissemination["runs"][0]["dissemination"]["seed"] = json!(null);
+    std::fs::write(&path, dissemination.to_string()).expect("written");
+    assert!(Figures::read(folder.path()).is_err());
 }
