Count a node's start as told only where the entry told is of that start

Trace: the node restarts at 4.9 s, discovery is silent from 4 to 6 s, so that no agent can have the start before 6 s; all proxies die at 4.9 s and start at 5 s with the list that their agents have. The rule took that list, told after the start, for word of it, though its entry is of the process before. The standing test breaks the rule only for proxies that had been told of the start. Change: a fact of something told carries the start that its entry names, and the rule compares that with the start of the process; a list told before the start counts as little as before.

--- a/crates/lab/src/virtual_host/engine.rs
+++ b/crates/lab/src/virtual_host/engine.rs
@@ -374,7 +374,7 @@
         let (revision, entries) = self.world.discovery().known(proxy, None);
         let known = site::cluster(&self.world, revision, true, &entries);
         for e in &entries {
-            self.world.tell(at, Fact::Told { proxy, node: e.node, what: e.what });
+            self.world.tell(at, Fact::Told { proxy, node: e.node, what: e.what, started: e.started });
         }
         let most_connections = site::most_connections(&self.world.scenario().proxies);
         let p = &mut self.proxies[proxy.0 as usize];
--- a/crates/world/src/facts.rs
+++ b/crates/world/src/facts.rs
@@ -63,8 +63,9 @@
     /// `effect` is false where a repeat was recognised and dropped, or where a read missed; `made` is false where it
     /// missed, for nothing that could be served comes of that.
     Ran { node: NodeNo, of: TryNo, class: ClassNo, key: Option<u64>, effect: bool, made: bool },
-    /// Discovery has told a proxy about a node, or counts as having told.
-    Told { proxy: ProxyNo, node: NodeNo, what: Told },
+    /// Discovery has told a proxy about a node, or counts as having told. `started` is when the process of the node that
+    /// this speaks of started; `None` is long ago.
+    Told { proxy: ProxyNo, node: NodeNo, what: Told, started: Option<Micros> },
     /// A node has started; told at the start of a run of those that are there, as `warm`. Others are empty and cold.
     /// `weight` is what discovery lists it with. `capacity` is its work a second when warm, in micros of a standard
     /// core.
--- a/crates/world/src/rules/drain.rs
+++ b/crates/world/src/rules/drain.rs
@@ -21,7 +21,7 @@
 
     pub fn hear(&mut self, at: Micros, fact: &Fact, found: &mut Found) {
         match *fact {
-            Fact::Told { proxy, node, what: Told::Ready } => drop(self.told.remove(&(proxy, node))),
+            Fact::Told { proxy, node, what: Told::Ready, .. } => drop(self.told.remove(&(proxy, node))),
             Fact::Told { proxy, node, .. } => drop(self.told.entry((proxy, node)).or_insert(at)),
             Fact::ProxyEnded { proxy, .. } => self.told.retain(|(p, _), _| *p != proxy),
             Fact::AttemptBegun { proxy, node, of } => {
--- a/crates/world/src/rules/fail_back.rs
+++ b/crates/world/src/rules/fail_back.rs
@@ -70,8 +70,8 @@
     miss_part: f64,
     miss_multiple: f64,
     nodes: BTreeMap<NodeNo, Node>,
-    /// Who was told of a node's start, and when.
-    told: Map<(ProxyNo, NodeNo), Micros>,
+    /// The start of each node as its proxies were told of it; `None` is long ago.
+    told: Map<(ProxyNo, NodeNo), Option<Micros>>,
     /// At the ledger, over its own window: all that was asked, what came of misses at cold nodes, and reads due to
     /// such nodes.
     asked: Pressure,
@@ -108,10 +108,12 @@
         }
     }
 
-    /// Whether a proxy was told of this start of a node.
+    /// Whether a proxy was told of this start of a node. An entry of an earlier start that a new proxy finds in its first
+    /// list is later than this start and yet says nothing of it.
     fn knows(&self, proxy: ProxyNo, node: NodeNo) -> bool {
-        let started = self.nodes.get(&node).and_then(|n| n.started);
-        started.is_some_and(|started| self.told.get(&(proxy, node)).is_some_and(|told| *told >= started))
+        let Some(started) = self.nodes.get(&node).and_then(|n| n.started) else { return false };
+        let told = self.told.get(&(proxy, node)).copied().flatten();
+        told.is_some_and(|told| told >= started)
     }
 
     /// Cold by what proxies are told: for so long after its start.
@@ -148,7 +150,9 @@
                 self.nodes.remove(&node);
                 self.shared = Micros::MIN;
             }
-            Fact::Told { proxy, node, what: Told::Ready } => drop(self.told.insert((proxy, node), at)),
+            Fact::Told { proxy, node, what: Told::Ready, started } => {
+                self.told.insert((proxy, node), started);
+            }
             Fact::Told { proxy, node, .. } => drop(self.told.remove(&(proxy, node))),
             Fact::ProxyEnded { proxy, .. } => self.told.retain(|(p, _), _| *p != proxy),
             Fact::Arrived { proxy, node, work, warmth } => {
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -462,8 +462,8 @@
         let mut news = std::mem::take(&mut self.news);
         self.discovery.advance(at, &mut news);
         for one in news.drain(..) {
-            let (proxy, node, what) = (one.proxy, one.entry.node, one.entry.what);
-            self.rules.hear(at, &Fact::Told { proxy, node, what });
+            let Entry { node, what, started } = one.entry;
+            self.rules.hear(at, &Fact::Told { proxy: one.proxy, node, what, started });
             if one.arrived {
                 out.push((at, Occurrence::Told(one)));
             }
--- a/crates/world/tests/rules.rs
+++ b/crates/world/tests/rules.rs
@@ -107,7 +107,12 @@
 }
 
 fn told(at: Micros, what: Told) -> (Micros, Fact) {
-    (at, Fact::Told { proxy: PROXY, node: NODE, what })
+    told_of_a_start(at, what, Some(0))
+}
+
+/// The entry is of the process that started then.
+fn told_of_a_start(at: Micros, what: Told, started: Option<Micros>) -> (Micros, Fact) {
+    (at, Fact::Told { proxy: PROXY, node: NODE, what, started })
 }
 
 fn begun(at: Micros, proxy: u32) -> (Micros, Fact) {
@@ -143,6 +148,22 @@
     assert_eq!(broken(&flood(3, false)), [], "who was not told of the start cannot know better");
 }
 
+/// `scenarios/fleet_herd.toml`, seed 4411, run 157, was said to break `slow_start`: a node restarts 4.9 s after the begin, while
+/// discovery is silent until 6 s; all proxies die and start anew with the list that their agents have; at 5.77 s the node
+/// has more than it is allowed. The rule took that list, told after the restart, for word of it, though its entry is of the
+/// process before.
+#[test]
+fn the_entry_of_an_earlier_start_is_no_word_of_this_one() {
+    let with = |entry| {
+        let mut facts = flood(3, false);
+        facts.insert(1, entry);
+        broken(&facts)
+    };
+    assert_eq!(with(told_of_a_start(1, Told::Ready, None)), []);
+    assert_eq!(with(told_of_a_start(1, Told::Ready, Some(-MS))), []);
+    assert_eq!(with(told_of_a_start(1, Told::Ready, Some(0))), [Rule::SlowStart, Rule::FailBack]);
+}
+
 #[test]
 fn a_few_long_requests_at_a_cold_node_are_chance_and_many_are_not() {
     let sent = |count: Micros| {
