Count what warm servers serve, without misses, as what a server in slow start can do

Cause: a router issues itself attempts at such a server by what it sees warm ones answer, and a miss counted as much as a hit. A miss takes a part of the work, so a server answers many more than the requests of mean work that it is allowed by. Why it holds: every request that counts now is one of full work that a warm server did, so the sum over the routers is never over what warm servers of one weight can do on the mean, whatever misses take.

--- a/crates/lab/src/loopback/stage/mod.rs
+++ b/crates/lab/src/loopback/stage/mod.rs
@@ -173,7 +173,8 @@
         // What is in its list from the start it has been told.
         let (_, entries) = self.world.discovery().known(proxy, None);
         for e in entries {
-            self.world.tell(self.reached, Fact::Told { proxy, node: e.node, what: e.what, started: e.started });
+            self.world
+                .tell(self.reached, Fact::Told { proxy, node: e.node, what: e.what, started: e.started });
         }
         let place = settings::Place {
             proxy,
--- a/crates/limits/src/cold.rs
+++ b/crates/limits/src/cold.rs
@@ -39,7 +39,7 @@
 /// What is left of a proven rate after a step that leaves `keep` of the present one: sixteen times slower, a minute.
 const PROVEN: f64 = 1.0 / 16.0;
 
-/// What warm servers were seen to answer, a second and unit of weight. A rate that they proved stays true when less is
+/// What warm servers were seen to do, in requests of mean work a second and unit of weight. A rate that they proved stays true when less is
 /// asked of them, when more is refused, or when none of them is left.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Proven {
@@ -48,7 +48,8 @@
 }
 
 impl Proven {
-    /// Takes in what servers of this weight answered a second; what was before keeps the part `keep`.
+    /// Takes in the requests of mean work that servers of this weight did a second, without what takes far less, such as
+    /// a miss; what was before keeps the part `keep`.
     pub fn add(&mut self, served: f64, weight: f64, keep: f64) {
         let rate = if weight > 0.0 { served / weight } else { 0.0 };
         self.lately = keep * self.lately + (1.0 - keep) * rate;
--- a/src/state.rs
+++ b/src/state.rs
@@ -179,10 +179,11 @@
     }
 }
 
-/// A zone's caches together: whether they are within reach, and what warm ones answer of late.
+/// A zone's caches together: whether they are within reach, and what warm ones do of late.
 #[derive(Default)]
 pub struct Zone {
     pub reach: Domain,
+    /// Requests that warm ones served since the last refresh, without misses.
     pub served: f64,
     pub rate: Proven,
     /// The weight of its warm caches.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -310,6 +310,33 @@
     assert!(cold > 5 && cold < 100, "{cold}");
 }
 
+/// `scenarios/slow_start_burst.toml`: where misses take a tenth of the work of a hit, routers that counted each answer took
+/// servers for three times what they can do, and together overloaded those in slow start.
+#[test]
+fn misses_prove_no_capacity_of_servers_in_slow_start() {
+    let rate_beside = |misses: u64| {
+        let mut entries = members(4);
+        entries[3].started = Some(60 * S);
+        let mut r = Router::new(settings(), entries);
+        // 25 hits a second, beside so many misses each.
+        for k in 0..250u64 {
+            for n in 0..=misses {
+                let (id, out) = r.ask(Request { key: Key(k * 100 + n + 1), ..Request::default() });
+                let verdict = if n == 0 { Verdict::Served } else { Verdict::Miss };
+                if server(&out).is_some() {
+                    r.end(id, verdict, 10 * MS, vec![0.3]);
+                }
+            }
+            r.pass(40 * MS);
+        }
+        r.b.slow_start_sight(ServerId(4)).expect("it is in slow start").rate
+    };
+    let (alone, beside) = (rate_beside(0), rate_beside(9));
+    assert!(alone > 1.0, "{alone}");
+    // A quarter of the keys belongs to the server in slow start: what it takes of the hits is not seen at warm ones.
+    assert!(beside <= 4.0 / 3.0 * alone, "{beside} a second beside misses, {alone} without");
+}
+
 #[test]
 fn a_cold_server_comes_back_to_its_keys() {
     let mut entries = members(4);
