--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery: the list of nodes as each proxy's agent has it, late, in order, and at times silent.
 //!
 //! It knows only whether a process runs, drains or is gone, and when it started. A change reaches the agents at
-//! times of their own; an agent answers at once with what it has. While discovery is silent nothing arrives, but
-//! what is due counts as told some seconds later all the same.
+//! times of their own; an agent answers at once with what it has, and that counts as told. While discovery is silent the
+//! agents learn nothing, and nothing counts as told; what was due by then reaches them as the silence ends.
 
 use crate::facts::{NodeNo, ProxyNo, Told};
 use crate::random::{ms, seconds, within, Random};
@@ -29,14 +29,12 @@
     Added,
 }
 
-/// A change that has reached an agent, or counts as if it had.
+/// A change that has reached an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct News {
     pub proxy: ProxyNo,
     pub revision: u64,
     pub entry: Entry,
-    /// It is there; else it only counts as told.
-    pub arrived: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -44,8 +42,6 @@
     at: Micros,
     revision: u64,
     entry: Entry,
-    /// Counts as told already.
-    deemed: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -62,7 +58,6 @@
     vanished: Range,
     added: Range,
     spread: Range,
-    told_latest: Micros,
     revision: u64,
     agents: Vec<Agent>,
     silent: bool,
@@ -77,7 +72,6 @@
             vanished: d.vanished_s,
             added: d.added_s,
             spread: d.spread_ms,
-            told_latest: seconds(s.rules.told_latest_s),
             revision: 1,
             agents: vec![Agent { revision: 1, ..Agent::default() }; s.proxies.count as usize],
             silent: false,
@@ -103,7 +97,7 @@
         for agent in &mut self.agents {
             let at = base + ms(within(self.spread, &mut self.rng));
             let at = agent.due.back().map_or(at, |last| at.max(last.at));
-            agent.due.push_back(Due { at, revision: self.revision, entry, deemed: false });
+            agent.due.push_back(Due { at, revision: self.revision, entry });
         }
     }
 
@@ -120,36 +114,24 @@
         self.silent
     }
 
-    fn wants(&self, due: &Due) -> Option<Micros> {
-        match self.silent {
-            false => Some(due.at),
-            true => (!due.deemed).then_some(due.at + self.told_latest),
-        }
-    }
-
-    /// When the next change is told, or counts as told.
+    /// When the next change is told.
     pub fn next(&self) -> Option<Micros> {
-        let first = |a: &Agent| a.due.iter().find_map(|d| self.wants(d));
-        self.agents.iter().filter_map(first).min()
+        let first = |a: &Agent| a.due.front().map(|due| due.at);
+        self.agents.iter().filter_map(first).min().filter(|_| !self.silent)
     }
 
     /// All that is told by now, in the order of proxies and changes.
     pub fn advance(&mut self, now: Micros, out: &mut Vec<News>) {
-        let (silent, latest) = (self.silent, self.told_latest);
+        if self.silent {
+            return;
+        }
         for (i, agent) in self.agents.iter_mut().enumerate() {
             let proxy = ProxyNo(i as u32);
-            if silent {
-                for due in agent.due.iter_mut().filter(|d| !d.deemed && d.at + latest <= now) {
-                    due.deemed = true;
-                    out.push(News { proxy, revision: due.revision, entry: due.entry, arrived: false });
-                }
-                continue;
-            }
             while let Some(due) = agent.due.front().copied().filter(|d| d.at <= now) {
                 agent.due.pop_front();
                 agent.revision = due.revision;
                 agent.known.insert(due.entry.node, (due.revision, due.entry));
-                out.push(News { proxy, revision: due.revision, entry: due.entry, arrived: true });
+                out.push(News { proxy, revision: due.revision, entry: due.entry });
             }
         }
     }
--- a/crates/world/src/discovery/tests.rs
+++ b/crates/world/src/discovery/tests.rs
@@ -7,10 +7,10 @@
     Entry { node: NODE, what, started: None }
 }
 
-fn told(d: &mut Discovery, now: Micros) -> Vec<(u32, Told, bool)> {
+fn told(d: &mut Discovery, now: Micros) -> Vec<(u32, Told)> {
     let mut out = Vec::new();
     d.advance(now, &mut out);
-    out.iter().map(|n| (n.proxy.0, n.entry.what, n.arrived)).collect()
+    out.iter().map(|n| (n.proxy.0, n.entry.what)).collect()
 }
 
 #[test]
@@ -28,17 +28,20 @@
     assert_eq!(d.known(ProxyNo(0), Some(2)), (3, vec![entry(Told::Gone)]));
 }
 
+/// `lab search scenarios/rolling_restart.toml --runs 300 --seed 4411`, runs 0, 27 and nine more, were said to break `drain`. Trace of run 27, shrunk: a node
+/// restarts at 0 s, discovery is silent from 0.1 to 11.2 s, and at 10.1 s a proxy that nobody has told sends to it. The rule took the
+/// change for told 6 s after it was due. The page of the standing test has silent agents learn nothing, what they get at the
+/// return count at once, and puts that before older sentences on when a change is told.
 #[test]
-fn what_silence_keeps_back_counts_as_told_after_a_while() {
+fn what_silence_keeps_back_is_told_as_it_ends_and_not_before() {
     let s = Scenario::default();
     let mut d = Discovery::new(&s, stream(1, "discovery", 0));
     d.silence(0, true);
     d.change(0, entry(Told::Draining), Notice::Process);
-    let at = d.next().expect("it will count as told");
-    assert!(at >= 7_200_000, "{at}");
-    assert!(told(&mut d, 20_000_000).iter().all(|t| !t.2));
     assert_eq!(d.next(), None);
+    assert!(told(&mut d, 20_000_000).is_empty(), "nobody was told");
     d.silence(20_000_001, false);
-    assert_eq!(d.next(), Some(20_000_001), "nothing is told in the past");
-    assert!(told(&mut d, 20_000_001).iter().all(|t| t.2), "and arrives when the silence is over");
+    assert_eq!(d.next(), Some(20_000_001), "at once, and not in the past");
+    assert_eq!(told(&mut d, 20_000_001).len(), s.proxies.count as usize);
+    assert_eq!(d.next(), None);
 }
--- a/crates/world/src/scenario/mod.rs
+++ b/crates/world/src/scenario/mod.rs
@@ -513,8 +513,9 @@
 pub struct Rules {
     /// After the client's deadline, for a final answer to be in time.
     pub answer_grace_ms: f64,
-    /// After a proxy was told of a drain, for what it still sends; and how late a thing counts as told.
+    /// After a proxy was told of a drain, for what it still sends.
     pub drain_grace_ms: f64,
+    /// Binds nothing, and stays for files that name it: what a proxy's agent has counts as told, nothing else does.
     pub told_latest_s: f64,
     /// What proxies are told of cold nodes: they start at this part of their capacity at least, and are warm after
     /// this time at the latest.
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -464,9 +464,7 @@
         for one in news.drain(..) {
             let Entry { node, what, started } = one.entry;
             self.rules.hear(at, &Fact::Told { proxy: one.proxy, node, what, started });
-            if one.arrived {
-                out.push((at, Occurrence::Told(one)));
-            }
+            out.push((at, Occurrence::Told(one)));
         }
         self.news = news;
         self.retell();
