Forward an origin's answer without a length once it has closed in order

What callers saw: a request failed, or was sent on, though the origin had answered it whole, with neither a length nor chunks. Cause: codec::http::response took the head of such an answer for malformed, for fear that half a body could pass for a whole one: an end and a reset were said to look alike to who has read on. A read after a reset fails with ECONNRESET, one after an end gives 0. Change: the codec is told whether the peer has closed in order; a body without a length is whole then, unless it is empty. Why it holds: between the request's last byte and the answer only this read looks at the socket, so that no error is taken by another call.

--- a/src/codec/http.rs
+++ b/src/codec/http.rs
@@ -18,6 +18,15 @@
     Close,
 }
 
+/// What may follow the bytes that have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// More bytes, or the end.
+    Open,
+    /// Nothing: the peer has closed in order. A reset is no such end.
+    Closed,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Head {
     pub status: u16,
@@ -136,8 +145,11 @@
     Err(Malformed("too many interim responses"))
 }
 
-/// A whole response with a body of at most `most`; `None` for one that only the connection's end completes.
-pub fn response(bytes: &[u8], most: usize) -> Parsed<(Head, Vec<u8>)> {
+/// A whole response with a body of at most `most`; `None` for one that is not whole yet.
+///
+/// A body without a length is whole once the peer has closed in order (RFC 9112, section 6.3). One that is empty then is
+/// none: what broke off behind the head looks the same.
+pub fn response(bytes: &[u8], most: usize, rest: Rest) -> Parsed<(Head, Vec<u8>)> {
     let Some((head, mut at)) = final_head(bytes, most)? else { return Ok(None) };
     match head.framing {
         Framing::Length(n) => match bytes.get(at..at + n) {
@@ -158,7 +170,14 @@
                 }
             }
         }
-        Framing::Close => Err(Malformed("a body without a length")),
+        Framing::Close => {
+            let body = &bytes[at..];
+            if body.len() > most {
+                return Err(Malformed("an oversized body"));
+            }
+            let whole = rest == Rest::Closed && !body.is_empty();
+            Ok(whole.then(|| ((head, body.to_vec()), bytes.len())))
+        }
     }
 }
 
--- a/src/net/origin.rs
+++ b/src/net/origin.rs
@@ -2,7 +2,8 @@
 //! came but for the time: it is told what is left, as every node is.
 
 use super::upstream::properties;
-use crate::codec::{self, http, resp, Parsed};
+use crate::codec::http::{self, Rest};
+use crate::codec::{self, resp, Parsed};
 use crate::core::{Job, Reply};
 use crate::interface::Verdict;
 use std::net::SocketAddr;
@@ -21,8 +22,9 @@
     }
 }
 
-pub(super) fn reply(bytes: &[u8], job: &Job, columns: &[String]) -> Parsed<Reply> {
-    let Some(((head, value), taken)) = http::response(bytes, resp::VALUE)? else { return Ok(None) };
+pub(super) fn reply(bytes: &[u8], job: &Job, columns: &[String], rest: Rest) -> Parsed<Reply> {
+    let response = http::response(bytes, resp::VALUE, rest)?;
+    let Some(((head, value), taken)) = response else { return Ok(None) };
     let never_ran = head.header("X-Never-Ran") == Some(b"1");
     let read = matches!(job, Job::Stream { message, .. } if message.value.is_none());
     let verdict = match head.status {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::memcached::node as memcached;
 use super::{consume, origin, peek, read, tell, Note, Queue};
+use crate::codec::http::Rest;
 use crate::codec::{self, resp, Malformed, Parsed};
 use crate::core::{ConnectionId, Input, Job, Reply, Stage, READS};
 use crate::interface::Verdict;
@@ -46,13 +47,14 @@
         Ok(())
     }
 
-    fn reply(self, bytes: &[u8], turn: &Turn) -> Parsed<Reply> {
+    /// The reply that has come, if it is whole.
+    fn reply(self, bytes: &[u8], turn: &Turn, rest: Rest) -> Parsed<Reply> {
         let Turn { job, columns, number, .. } = *turn;
         let probe = matches!(job, Job::Probe);
         match self {
             Dialect::Cache => Ok(resp::reply(bytes)?.map(|(r, taken)| (reply(r, probe, columns), taken))),
             Dialect::Memcached => memcached::reply(bytes, job, number),
-            Dialect::Origin => origin::reply(bytes, job, columns),
+            Dialect::Origin => origin::reply(bytes, job, columns, rest),
         }
     }
 }
@@ -264,7 +266,7 @@
             // Not its last byte was written, so it never ran. A node may turn a job away before it has heard all of
             // it; what else it says by then is no answer to it.
             let _ = future::poll_once(read(&self.socket, &mut self.input)).await;
-            return match self.dialect.reply(&self.input, &turn) {
+            return match self.dialect.reply(&self.input, &turn, Rest::Open) {
                 Ok(Some((r, _))) if r.verdict == Verdict::Full => Ok(Reply { keep: false, ..r }),
                 _ => Err((Stage::Writing, None)),
             };
@@ -273,12 +275,14 @@
         let written = self.output.len();
         consume(&mut self.output, written);
         loop {
-            match read(&self.socket, &mut self.input).await {
-                Ok(1..) => {}
-                _ => return Err((Stage::Reading, None)),
-            }
-            let parsed = self.dialect.reply(&self.input, &turn);
-            if let Some((mut reply, taken)) = parsed.map_err(|m| (Stage::Reading, Some(m)))? {
+            let rest = match read(&self.socket, &mut self.input).await {
+                Ok(1..) => Rest::Open,
+                Ok(0) => Rest::Closed,
+                Err(_) => return Err((Stage::Reading, None)),
+            };
+            let parsed = self.dialect.reply(&self.input, &turn, rest);
+            let parsed = parsed.map_err(|m| (Stage::Reading, Some(m)))?;
+            if let Some((mut reply, taken)) = parsed {
                 consume(&mut self.input, taken);
                 if self.number == 1 && reply.verdict == Verdict::Full {
                     reply.no_place = self.closes().await;
@@ -286,6 +290,9 @@
                 }
                 return Ok(reply);
             }
+            if rest == Rest::Closed {
+                return Err((Stage::Reading, None));
+            }
         }
     }
 }
