Write whole messages on where a call is interrupted

What callers saw: with one send in two interrupted a read was refused at once, and its connection to the node closed. Cause: the write_all of futures-lite gives EINTR back. Change: net::write_all, on net::write, in all six places. Why it holds: nothing in src writes to a socket by another way now (no use of AsyncWriteExt is left).

--- a/src/features/tap.rs
+++ b/src/features/tap.rs
@@ -5,10 +5,10 @@
 use crate::core::Record;
 use crate::interface::{ClassId, TenantId};
 use crate::net::downstream::{farewell, Link, Order, Waits};
-use crate::net::{read, tell, uninterrupted, Note};
+use crate::net::{read, tell, uninterrupted, write_all, Note};
 use crate::settings::Site;
 use async_channel::{Receiver, Sender};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use std::cell::RefCell;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -242,8 +242,7 @@
         }
     };
     // Sweeps see to it that this ends even if the watcher never reads: no write counts as a step.
-    let mut writer = &**link.socket;
-    if writer.write_all(&left.bytes[left.written..]).await.is_ok() {
+    if write_all(&link.socket, &left.bytes[left.written..]).await.is_ok() {
         link.progress.set(Waits::Close);
         farewell(&link.socket).await;
     }
--- a/src/net/cluster.rs
+++ b/src/net/cluster.rs
@@ -1,11 +1,10 @@
 //! Discovery: a watch on the list of nodes. When and from where to watch is the core's.
 
-use super::{read, tell, Heard, News, Note, Queue};
+use super::{read, tell, write_all, Heard, News, Note, Queue};
 use crate::codec::discovery::{self, Objects, Piece};
 use crate::codec::http;
 use crate::settings::Site;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use std::net::{SocketAddr, TcpStream};
 
 const PATH: &str = "/registry/instances";
@@ -36,12 +35,12 @@
 ) -> Result<(), String> {
     let failed = |e: std::io::Error| e.to_string();
     let malformed = |m: crate::codec::Malformed| m.0.to_owned();
-    let mut socket = Async::<TcpStream>::connect(address).await.map_err(failed)?;
+    let socket = Async::<TcpStream>::connect(address).await.map_err(failed)?;
     let mut out = Vec::new();
     let after = after.map_or_else(String::new, |revision| format!("&after={revision}"));
     let path = format!("{PATH}?watch=1{after}");
     http::put_request(&mut out, "GET", path.as_bytes(), &address.to_string(), &[], None);
-    socket.write_all(&out).await.map_err(failed)?;
+    write_all(&socket, &out).await.map_err(failed)?;
     let (mut input, mut body) = (Vec::new(), Objects::default());
     let mut begun = false;
     loop {
--- a/src/net/framed.rs
+++ b/src/net/framed.rs
@@ -9,10 +9,10 @@
 mod changes;
 
 use super::downstream::farewell;
-use super::read;
+use super::{read, write_all};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use plan::bounds;
 use plan::frame::{self, Reader, Refused};
 use plan::Message;
@@ -192,9 +192,8 @@
         End::Over(why) => return why,
         End::Refuse(why) => (M::refusal(&why), format!("refused: {why}")),
     };
-    let mut writer = socket;
     let goodbye = async {
-        if writer.write_all(&last).await.is_ok() {
+        if write_all(socket, &last).await.is_ok() {
             farewell(socket).await;
         }
     };
@@ -234,19 +233,18 @@
 }
 
 async fn write<R>(socket: &Async<TcpStream>, out: &Inbox) -> End<R> {
-    let mut writer = socket;
     loop {
         let Ok(item) = out.items.recv().await else { return future::pending().await };
         match item {
             Item::Frame(frame) => {
-                if let Err(why) = writer.write_all(&frame).await {
+                if let Err(why) = write_all(socket, &frame).await {
                     return End::Over(why.to_string());
                 }
                 out.held.set(out.held.get().saturating_sub(frame.len()));
             }
             Item::Last(frame) => {
                 let goodbye = async {
-                    if writer.write_all(&frame).await.is_ok() {
+                    if write_all(socket, &frame).await.is_ok() {
                         farewell(socket).await;
                     }
                 };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -75,6 +75,17 @@
     socket.write_with(|mut s| uninterrupted(|| s.write(bytes))).await
 }
 
+/// Writes all of it, interrupted or not: what the socket's own `write_all` gives back as an error.
+pub(crate) async fn write_all(socket: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match write(socket, bytes).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            n => bytes = &bytes[n..],
+        }
+    }
+    Ok(())
+}
+
 /// Takes `n` bytes off the front, and gives back what a long message took once it is read.
 pub(crate) fn consume(input: &mut Vec<u8>, n: usize) {
     input.drain(..n);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,14 @@
 //! Connections to nodes: one upstream request at a time on each, the pool of them is the core's.
 
 use super::memcached::node as memcached;
-use super::{consume, origin, peek, read, tell, Note, Queue};
+use super::{consume, origin, peek, read, tell, write_all, Note, Queue};
 use crate::codec::http::Rest;
 use crate::codec::{self, resp, Malformed, Parsed};
 use crate::core::{ConnectionId, Input, Job, Reply, Stage, READS};
 use crate::interface::Verdict;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use std::cell::Cell;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -242,8 +242,7 @@
     /// whole, and the rest is not written. The socket was looked at just before, in [`Connection::idle`]: with what
     /// goes out at once nothing can have come.
     async fn write(&self) -> bool {
-        let mut writer = &self.socket;
-        let mut written = std::pin::pin!(writer.write_all(&self.output));
+        let mut written = std::pin::pin!(write_all(&self.socket, &self.output));
         if let Some(written) = future::poll_once(written.as_mut()).await {
             return written.is_ok();
         }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -2,9 +2,11 @@
 
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Longer than any wait that has an end.
@@ -38,17 +40,24 @@
 }
 
 impl Program {
-    /// Starts the program with a library loaded into it and this in its environment.
+    /// Starts the program with a library loaded into it and this in its environment, before a node where nobody listens.
     fn start(name: &str, told: (&str, &str)) -> Program {
+        Program::start_before(name, told, "127.0.0.1:1")
+    }
+
+    /// The same before the node at this address.
+    fn start_before(name: &str, told: (&str, &str), node: &str) -> Program {
         let text = std::fs::read_to_string("tests/exchanges/config.json").expect("the configuration");
         let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
         config["listen"] = "127.0.0.1:0".into();
         config["discovery"] = "127.0.0.1:1".into();
         config["known"]["members"] = serde_json::json!([{
-            "id": "s-a", "host_port": "127.0.0.1:1", "locality": "hofdi", "flavor": "half-node", "cell": 0,
+            "id": "s-a", "host_port": node, "locality": "hofdi", "flavor": "half-node", "cell": 0,
             "phase": "SERVING", "size": 1.0, "up_since_ms": 0,
         }]);
-        let program = format!("{name}-{}-{}-{}", told.0, told.1, std::process::id());
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let started = STARTED.fetch_add(1, Ordering::SeqCst);
+        let program = format!("{name}-{}-{started}", std::process::id());
         let path = std::env::temp_dir().join(format!("martenweir-{program}.json"));
         std::fs::write(&path, config.to_string()).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_martenweir"));
@@ -151,3 +160,57 @@
         ping(&mut socket);
     }
 }
+
+/// A node that serves each read, and how many connections it has taken.
+fn node() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let taken = connections.clone();
+    std::thread::spawn(move || {
+        for socket in listener.incoming().map_while(Result::ok) {
+            taken.fetch_add(1, Ordering::SeqCst);
+            std::thread::spawn(move || serve(socket));
+        }
+    });
+    (address, connections)
+}
+
+/// Answers reads with a value and anything else, which is a probe, with a report.
+fn serve(mut socket: TcpStream) {
+    let mut lines = BufReader::new(socket.try_clone().expect("a socket")).lines().map_while(Result::ok);
+    while let Some(head) = lines.next() {
+        let words: usize = head[1..].parse().expect("how many words");
+        let command: Vec<String> = lines.by_ref().take(2 * words).collect();
+        let read = command.get(1).is_some_and(|word| word == "CACHE.GET");
+        let answer = if read { "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n" } else { "$8\r\nutil=0.1\r\n" };
+        if socket.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// One in two sends is interrupted, those to nodes too: what writes a whole job gave that back as an error, the job was taken
+/// for one that never went out, and its connection was closed.
+#[test]
+fn an_interrupted_write_ends_no_connection_to_a_node() {
+    let (address, connections) = node();
+    let mut program = Program::start_before("interrupted", ("SEND_EINTR", "2"), &address);
+    program.wait_for("ready");
+    let mut socket = program.connect();
+    for n in 0..40 {
+        let words = [
+            "CACHE.GET".to_owned(),
+            format!("{n:016x}"),
+            format!("{n:016x}"),
+            "c=lookup,t=nordurbanki,d=2000".to_owned(),
+        ];
+        let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+        let get = format!("*4\r\n{words}");
+        socket.write_all(get.as_bytes()).expect("sent");
+        let mut got = [0; 7];
+        socket.read_exact(&mut got).expect("an answer");
+        assert_eq!(&got, b"$1\r\nv\r\n", "read {n}");
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1, "connections that the node has taken");
+}
