--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -8,9 +8,9 @@
 //! under that without a word between them:
 //!
 //! - **Rate.** Each router is issued attempts at its part of [`SHARE`] of N. The parts are what the router's own requests
-//!   make of what warm servers serve, misses left out, so they add up to one whatever each router gets. Nothing that is learnt from a
-//!   server in slow start raises the rate: its answers come quickly until the moment in which it is overloaded, and many
-//!   routers would raise theirs together.
+//!   make of what warm servers serve, misses left out, so they add up to one whatever each router gets. Nothing that is
+//!   learnt from a server in slow start raises the rate: its answers come quickly until the moment in which it is
+//!   overloaded, and many routers would raise theirs together.
 //! - **Stock.** What was issued and not used adds up over the routers too, and a disturbance has all of them spend it at
 //!   once. So an issued attempt is open to any request for a moment only ([`Allowance::FRESH`]). Later it is kept for
 //!   [`Demand::Expected`], which the list and the traffic bound by themselves: without that a router with a request for
@@ -127,7 +127,8 @@
     }
 
     /// Attempts a second that this router is issued at a server of this weight, its ramp in it, where it sees warm servers
-    /// of its zone serve `capacity` requests of mean work a second and unit of weight. `part` is what planners leave of it, 0 to 1.
+    /// of its zone serve `capacity` requests of mean work a second and unit of weight. `part` is what planners leave of it,
+    /// 0 to 1.
     pub fn rate(&self, weight: f64, capacity: f64, part: f64) -> f64 {
         SHARE * self.multiple * weight * capacity * part
     }
