--- a/src/choice.rs
+++ b/src/choice.rs
@@ -679,8 +679,8 @@
             self.failing += (f64::from(u8::from(bad)) - self.failing) / FAILING_MEMORY;
             self.retries.ended(&sample);
             self.answered += f64::from(u8::from(good && end.elapsed <= aim));
-            // A miss takes a part of the work of a hit that a router cannot know: a server answers many more of them than
-            // it can do requests of mean work, so none of them proves capacity.
+            // A miss takes a part of the work of a hit that a router cannot know: a server answers many more
+            // of them than it can do requests of mean work, so none of them proves capacity.
             zone.served += f64::from(u8::from(end.verdict == Verdict::Served && !s.cold));
         }
     }
@@ -841,8 +841,8 @@
     }
 }
 
-/// What warm caches of a zone were seen to do, in requests of mean work a second and unit of weight; where it has none,
-/// those of all zones.
+/// What warm caches of a zone were seen to do, in requests of mean work a second and unit of weight; where it
+/// has none, those of all zones.
 fn proven(zones: &BTreeMap<ZoneId, Zone>, all: &Proven, zone: ZoneId) -> f64 {
     match zones.get(&zone).filter(|z| z.warm > 0.0) {
         Some(zone) => zone.rate.get(),
