Move the capacity that servers were seen to have into a module of its own

What warm servers were seen to do stood in the module of send budgets under a name that needed explaining (Proven), and the decision module worked out the rate of a server in slow start in two places.

Change: limits::capacity::ObservedCapacity, with its test moved as it was; Balancer::observed_capacity and slow_start_rate are the one place for both. Decisions are the same.

--- a/crates/limits/src/capacity/tests.rs
+++ b/crates/limits/src/capacity/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn a_rate_that_was_proved_outlasts_the_loss_of_those_that_proved_it() {
-    let (mut rate, keep) = (Proven::default(), 0.95);
+    let (mut rate, keep) = (ObservedCapacity::default(), 0.95);
     (0..200).for_each(|_| rate.add(30.0, 10.0, keep));
     let proved = rate.get();
     assert!((2.9..3.01).contains(&proved), "{proved}");
--- a/crates/limits/src/cold.rs
+++ b/crates/limits/src/cold.rs
@@ -36,32 +36,6 @@
     1.0 + (KEPT_BACK / f64::from(proxies.max(1))).min(KEPT_BACK_EACH)
 }
 
-/// What is left of a proven rate after a step that leaves `keep` of the present one: sixteen times slower, a minute.
-const PROVEN: f64 = 1.0 / 16.0;
-
-/// What warm servers were seen to do, in requests of mean work a second and unit of weight. A rate that they proved stays true when less is
-/// asked of them, when more is refused, or when none of them is left.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Proven {
-    lately: f64,
-    best: f64,
-}
-
-impl Proven {
-    /// Takes in the requests of mean work that servers of this weight did a second, without what takes far less, such as
-    /// a miss; what was before keeps the part `keep`.
-    pub fn add(&mut self, served: f64, weight: f64, keep: f64) {
-        let rate = if weight > 0.0 { served / weight } else { 0.0 };
-        self.lately = keep * self.lately + (1.0 - keep) * rate;
-        self.best = self.lately.max(self.best * keep.powf(PROVEN));
-    }
-
-    /// The rate.
-    pub fn get(&self) -> f64 {
-        self.best
-    }
-}
-
 /// How a server warms, and what brings it down.
 #[derive(Clone, Copy, Debug)]
 pub struct Warming {
@@ -186,6 +160,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`budget`] | a part of the first attempts | repeats, second copies, clients' marked retries |
 //! | [`popular`] | nothing: it counts keys | ordering what waits |
 //! | [`cold`] | work over any window | a server that has just started |
+//! | [`capacity`] | nothing: it remembers rates | how much a server does that has shown nothing yet: in service |
 //! | [`domain`] | the silence of many nodes together | a hall of which each node sees little: in service |
 //!
 //! What adapts how much is out implements [`Limit`] and is fed in one way: [`Limit::sent`] once for each
@@ -33,6 +34,7 @@
 pub mod backoff;
 pub mod bucket;
 pub mod budget;
+pub mod capacity;
 pub mod codel;
 pub mod cold;
 pub mod domain;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::slow_start::{Allowance, Demand, SlowStart};
 pub use crate::state::shares;
 use crate::state::*;
-use limits::cold::Proven;
+use limits::capacity::ObservedCapacity;
 use limits::{backoff, cold, Bucket, Budget, Extra, Ledger, Limit, Popular, Sample};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -93,8 +93,8 @@
     /// Hints lately.
     hints: Moments,
     slow_start: SlowStart,
-    /// What warm caches of all zones were seen to do, in requests of mean work.
-    answers: Proven,
+    /// What warm caches of all zones were seen to do.
+    capacity: ObservedCapacity,
     /// Requests within quota that wanted a cache lately, and those a cache answered within the aim.
     wanted: f64,
     answered: f64,
@@ -255,10 +255,10 @@
             let warm = self.servers.values().filter(|s| !s.origin && !s.cold && s.member.zone == *id);
             let served = std::mem::take(&mut zone.served) / second;
             zone.warm = warm.map(|s| s.weight).sum();
-            zone.rate.add(served, zone.warm, keep);
+            zone.capacity.add(served, zone.warm, keep);
             (all_served, all_warm) = (all_served + served, all_warm + zone.warm);
         }
-        self.answers.add(all_served, all_warm, keep);
+        self.capacity.add(all_served, all_warm, keep);
         (self.wanted, self.answered) = (self.wanted * keep, self.answered * keep);
         self.hints.decay(keep);
         self.turns.retain(|_, t| !t.queue.is_empty() || t.rest > now);
@@ -266,23 +266,37 @@
         self.asked.fade(keep.powf(MEMORY / ASKED_MEMORY));
         self.origin.learn(now, self.fetching());
         self.slow_start.refresh(REFRESH);
-        let (slow_start, part) = (self.slow_start, self.plan.cold());
         for s in self.servers.values_mut() {
             s.gaps.decay(keep);
             s.latency.decay(keep);
-            if s.cold {
-                let proven = proven(&self.zones, &self.answers, s.member.zone);
-                let rate = slow_start.rate(s.weight, proven, part);
-                s.allowance.issue(now, REFRESH, rate, slow_start.window());
-            }
         }
+        self.issue_allowances(now);
         self.refresh_terms(now);
     }
 
+    /// Issues this router's attempts at servers in slow start.
+    fn issue_allowances(&mut self, now: Micros) {
+        let starting = self.servers.values().filter(|s| s.cold);
+        let rates: Vec<_> = starting.map(|s| (s.member.server, self.slow_start_rate(s))).collect();
+        let window = self.slow_start.window();
+        for (server, rate) in rates {
+            if let Some(s) = self.servers.get_mut(&server) {
+                s.allowance.issue(now, REFRESH, rate, window);
+            }
+        }
+    }
+
     /// Attempts a second that this router is issued at a server in slow start.
     pub(crate) fn slow_start_rate(&self, s: &Server) -> f64 {
-        let proven = proven(&self.zones, &self.answers, s.member.zone);
-        self.slow_start.rate(s.weight, proven, self.plan.cold())
+        self.slow_start.rate(s.weight, self.observed_capacity(s.member.zone), self.plan.cold())
+    }
+
+    /// What warm caches of a zone were seen to do; where it has none, those of all zones.
+    fn observed_capacity(&self, zone: ZoneId) -> f64 {
+        match self.zones.get(&zone).filter(|z| z.warm > 0.0) {
+            Some(zone) => zone.capacity.get(),
+            None => self.capacity.get(),
+        }
     }
 
     fn refresh_terms(&mut self, now: Micros) {
@@ -840,12 +854,3 @@
         }
     }
 }
-
-/// What warm caches of a zone were seen to do, in requests of mean work a second and unit of weight; where it
-/// has none, those of all zones.
-fn proven(zones: &BTreeMap<ZoneId, Zone>, all: &Proven, zone: ZoneId) -> f64 {
-    match zones.get(&zone).filter(|z| z.warm > 0.0) {
-        Some(zone) => zone.rate.get(),
-        None => all.get(),
-    }
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use crate::slow_start::Allowance;
-use limits::cold::Proven;
+use limits::capacity::ObservedCapacity;
 use limits::{Bucket, Domain, Ending, Node};
 pub use placement::{mix, unit};
 use std::collections::VecDeque;
@@ -185,7 +185,7 @@
     pub reach: Domain,
     /// Requests that warm ones served since the last refresh, without misses.
     pub served: f64,
-    pub rate: Proven,
+    pub capacity: ObservedCapacity,
     /// The weight of its warm caches.
     pub warm: f64,
 }
