Test that clients which leave behind unread bytes are seen to have left (red)

What callers see: nothing themselves, they have left; the proxy makes attempts for them more than 0.1 s after they closed, which takes capacity from others. A client that is paused for the budget of bytes, or that has sent more than the 256 KB that are read ahead, was known from docs/crossings.md to be seen only once its bytes are read.

--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -80,6 +80,39 @@
     }
 }
 
+/// A client that had left was served: paused for the budget of bytes, its end was looked for by peeking at the socket, and a
+/// peek shows what waits unread in front of the end. The end was noticed once it was read again, so attempts began for it
+/// long after it had closed. Seen here: the task still holds its socket after 20 s.
+#[rstest]
+fn a_downstream_that_leaves_behind_unread_bytes_while_it_is_not_read_has_left(
+    #[values(false, true)] reset: bool,
+    #[values(1, 2_000)] commands: usize,
+) {
+    let executor = LocalExecutor::new();
+    let gate = Rc::new(Gate::default());
+    let (mut peer, socket, progress, _orders) = downstream(&executor, &gate);
+    assert!(progress.pause(true));
+    async_io::block_on(executor.run(async {
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        peer.write_all(&b"*1\r\n$4\r\nhere\r\n".repeat(commands)).expect("the kernel takes all of it");
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        if reset {
+            socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).expect("a socket");
+        }
+        drop(peer);
+        let late = Instant::now() + Duration::from_secs(20);
+        while Rc::strong_count(&socket) > 1 {
+            assert!(Instant::now() < late, "its end is not seen (reset: {reset})");
+            yield_now().await;
+        }
+    }));
+    assert_eq!(progress.look().local, 0, "of {commands} commands");
+}
+
 /// Guards the term on clients that have gone: one that sends many commands at once and goes, before any of them was
 /// read. Its end lies behind them, so no command is taken before that is seen.
 #[test]
@@ -102,6 +135,28 @@
     }
 }
 
+/// A client that had left was served: it sent more than the 256 KB that are read ahead of the commands that may be taken, and
+/// only reading further showed its end. Seen here: two commands are taken where one connection may have one open.
+#[rstest]
+fn who_sends_more_than_is_read_ahead_and_goes_has_no_command_taken(
+    #[values(20_000, 22_000)] commands: usize,
+) {
+    let executor = LocalExecutor::new();
+    let gate = Rc::new(Gate::default());
+    let (mut peer, socket, progress, _orders) = downstream(&executor, &gate);
+    peer.set_nonblocking(true).expect("a socket");
+    peer.write_all(&b"*1\r\n$4\r\nhere\r\n".repeat(commands)).expect("the kernel takes all of it");
+    drop(peer);
+    async_io::block_on(executor.run(async {
+        let late = Instant::now() + Duration::from_secs(20);
+        while Rc::strong_count(&socket) > 1 {
+            assert!(Instant::now() < late, "its end is not seen behind {commands} commands");
+            yield_now().await;
+        }
+    }));
+    assert_eq!(progress.look().local, 0, "of {commands} commands");
+}
+
 /// Who sends on and stays is answered, however much comes at once: what has come is taken once as much is here as may be,
 /// or nothing more waits, also where that ends with a whole read.
 #[rstest]
