See that a client has left also behind bytes that are not read yet

What callers saw: attempts began for clients that had closed more than 0.1 s before, and took room from others. It took a client that was paused for the budget of bytes, or that had sent over the 256 KB that are read ahead.

Cause: the end of a downstream was looked for by reads and peeks, which show it only once nothing unread is in front.

Change: Socket::has_left asks poll(2) for POLLRDHUP. A downstream that is not read asks before it takes commands, and every 50 ms while bytes wait unread. That holds wherever the end has come to this machine, whatever is in front of it.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -8,6 +8,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::retry_on_intr;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -112,6 +114,15 @@
         !matches!(self.look(), Ok(1..))
     }
 
+    /// The peer has closed, or has said that it sends no more, whatever waits to be read in front of that.
+    pub fn has_left(&self) -> bool {
+        // An event of its own: a read, or a look at what has come, shows an end only once nothing is in front of it.
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut looked = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let result = retry_on_intr(|| poll(&mut looked, Some(&Timespec::default())));
+        result.is_ok() && looked[0].revents().intersects(ended)
+    }
+
     /// Looks at what has come without a wait.
     fn look(&self) -> io::Result<usize> {
         uninterrupted(|| self.stream.get_ref().peek(&mut [0; 1]))
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -15,12 +15,15 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Bytes that a downstream may leave unread before no more commands are taken.
 const UNREAD: usize = 256 * 1024;
-/// Bytes that are read ahead of the commands that may be taken, a command's length at the least: behind them is the end
-/// of who has left, and nothing else tells of it. The budget of bytes bounds what all hold together.
+/// Bytes that are read ahead of the commands that may be taken, a command's length at the least: behind them may be the end
+/// of who has left. The budget of bytes bounds what all hold together.
 const AHEAD: usize = 256 * 1024;
+/// How often a peer that is not read, with bytes unread, is looked at for its end: no attempt may begin over 0.1 s after it.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Bytes that a downstream may still send once it is told that no more is read.
 const FAREWELL: usize = 256 * 1024;
 /// Bytes held for a downstream from which on the owner hears of each change at once.
@@ -231,7 +234,11 @@
             // them are silent.
             self.flush();
             // Behind much that came at once there may be the end of who has sent it and left: that is seen first.
-            let much = (READ..ahead).contains(&self.input.len()) && !progress.paused.get();
+            let reads = self.input.len() < ahead && !progress.paused.get();
+            if !reads && self.link.socket.has_left() {
+                return;
+            }
+            let much = reads && self.input.len() >= READ;
             if !(much && self.link.socket.is_readable()) {
                 self.commands().await;
             }
@@ -413,12 +420,16 @@
     }
 }
 
-/// Waits for the end of a peer that is not read for now: it shows while nothing else waits to be read.
-async fn gone(socket: &Async<TcpStream>) -> io::Result<usize> {
-    match peek(socket).await {
-        Ok(1..) => future::pending().await,
-        end => end,
+/// Waits for the end of a peer that is not read for now. Nothing wakes for an end behind unread bytes, so that one is looked
+/// for again and again.
+async fn gone(socket: &Socket) -> io::Result<usize> {
+    while let Ok(1..) = peek(socket).await {
+        if socket.has_left() {
+            break;
+        }
+        Timer::after(LOOK_AGAIN).await;
     }
+    Ok(0)
 }
 
 /// Says that no more will come, and reads on until the peer has closed too: closing with bytes unread
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -82,7 +82,8 @@
 
 /// A client that had left was served: paused for the budget of bytes, its end was looked for by peeking at the socket, and a
 /// peek shows what waits unread in front of the end. The end was noticed once it was read again, so attempts began for it
-/// long after it had closed. Seen here: the task still holds its socket after 20 s.
+/// long after it had closed. Seen here, as the evidence: the task still holds its socket after 20 s, while poll(2) says at
+/// once that the peer has hung up (POLLRDHUP).
 #[rstest]
 fn a_downstream_that_leaves_behind_unread_bytes_while_it_is_not_read_has_left(
     #[values(false, true)] reset: bool,
@@ -136,7 +137,9 @@
 }
 
 /// A client that had left was served: it sent more than the 256 KB that are read ahead of the commands that may be taken, and
-/// only reading further showed its end. Seen here: two commands are taken where one connection may have one open.
+/// only reading further showed its end. Seen here: two commands are taken where one connection may have one open. The end is
+/// asked for now, which finds it if it has come: with 22,000 commands `ss` shows 28,645 bytes unread here, and the peer in
+/// FIN-WAIT-1 with 17,212 bytes that the window had no room for, its end behind them.
 #[rstest]
 fn who_sends_more_than_is_read_ahead_and_goes_has_no_command_taken(
     #[values(20_000, 22_000)] commands: usize,
