Split the decision module: estimates and origin fetches have files of their own

What it estimates of servers, and how it fetches from the origin, are duties that can be read by themselves.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,6 +2,9 @@
 //! tried again. The interface (settings, events, actions) is `src/interface.rs`; `docs/design.md` says
 //! what is kept of the paper's mechanism, what departs from it and when each departure acts.
 
+mod estimates;
+mod origin_fetches;
+
 use crate::interface::*;
 use crate::servers::Servers;
 use crate::slow_start::{Allowance, Demand, SlowStart};
@@ -28,12 +31,8 @@
 const RHO_MAX: f64 = 0.98;
 /// Utilisation from which a candidate counts as saturated: nothing more fits.
 const RHO_FULL: f64 = 0.95;
-/// Utilisation of a fleet that has reported nothing: no sign of congestion.
-const RHO_PRIOR: f64 = 0.3;
 /// Re-solve period of the per-server terms, in us: several times a second, far above a request's cost.
 const REFRESH: Micros = 200_000;
-/// Memory of the moments and of a report's truth, in us: some report periods, shorter than a trouble.
-const MEMORY: f64 = 4e6;
 /// Samples that weigh as much as the pooled moments; about what a variance needs to mean anything.
 const PRIOR_SAMPLES: f64 = 8.0;
 /// Prior of every squared coefficient of variation: Poisson arrivals, exponential service.
@@ -225,115 +224,6 @@
         out.extend((drained || scarce).then_some(Action::Release { server }));
     }
 
-    // ---- estimates
-
-    /// Where load is told to probes alone, one goes with a request to a server unknown of late: without it
-    /// rho stays the prior and no key is ever spread.
-    fn probe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Action>) {
-        let asked = self.settings.may_probe && self.settings.reports == ReportSource::Probe;
-        let Some(s) = self.servers.get_mut(&server).filter(|s| asked && !s.origin) else { return };
-        if self.probes >= 1.0 && s.probed.max(s.reported.unwrap_or(0)) + PROBE_AGAIN <= now {
-            (self.probes, s.probed) = (self.probes - 1.0, now);
-            out.push(Action::Probe { server });
-        }
-    }
-
-    fn report(&mut self, now: Micros, server: ServerId, report: &[f32]) {
-        let Some(at) = self.settings.columns.iter().position(|c| *c == Column::Utilisation) else { return };
-        let (Some(s), Some(&rho)) = (self.servers.get_mut(&server), report.get(at)) else { return };
-        if rho.is_finite() && (0.0..=16.0).contains(&rho) {
-            (s.rho, s.reported) = (f64::from(rho).min(RHO_MAX), Some(now));
-        }
-    }
-
-    fn refresh(&mut self, now: Micros) {
-        let second = REFRESH as f64 / 1e6;
-        let keep = (-(REFRESH as f64) / MEMORY).exp();
-        self.split_quotas(keep.powf(MEMORY / QUOTA_MEMORY));
-        let (mut all_served, mut all_warm) = (0.0, 0.0);
-        for (id, zone) in &mut self.zones {
-            let warm = self.servers.values().filter(|s| !s.origin && !s.cold && s.member.zone == *id);
-            let served = std::mem::take(&mut zone.served) / second;
-            zone.warm = warm.map(|s| s.weight).sum();
-            zone.capacity.add(served, zone.warm, keep);
-            (all_served, all_warm) = (all_served + served, all_warm + zone.warm);
-        }
-        self.capacity.add(all_served, all_warm, keep);
-        (self.wanted, self.answered) = (self.wanted * keep, self.answered * keep);
-        self.hints.decay(keep);
-        self.turns.retain(|_, t| !t.queue.is_empty() || t.rest > now);
-        self.origin_time.decay(keep);
-        self.asked.fade(keep.powf(MEMORY / ASKED_MEMORY));
-        self.origin.learn(now, self.fetching());
-        self.slow_start.refresh(REFRESH);
-        for s in self.servers.values_mut() {
-            s.gaps.decay(keep);
-            s.latency.decay(keep);
-        }
-        self.issue_allowances(now);
-        self.refresh_terms(now);
-    }
-
-    /// Issues this router's attempts at servers in slow start.
-    fn issue_allowances(&mut self, now: Micros) {
-        let starting = self.servers.values().filter(|s| s.cold);
-        let rates: Vec<_> = starting.map(|s| (s.member.server, self.slow_start_rate(s))).collect();
-        let window = self.slow_start.window();
-        for (server, rate) in rates {
-            if let Some(s) = self.servers.get_mut(&server) {
-                s.allowance.issue(now, REFRESH, rate, window);
-            }
-        }
-    }
-
-    /// Attempts a second that this router is issued at a server in slow start.
-    pub(crate) fn slow_start_rate(&self, s: &Server) -> f64 {
-        self.slow_start.rate(s.weight, self.observed_capacity(s.member.zone), self.plan.cold())
-    }
-
-    /// What warm caches of a zone were seen to do; where it has none, those of all zones.
-    fn observed_capacity(&self, zone: ZoneId) -> f64 {
-        match self.zones.get(&zone).filter(|z| z.warm > 0.0) {
-            Some(zone) => zone.capacity.get(),
-            None => self.capacity.get(),
-        }
-    }
-
-    fn refresh_terms(&mut self, now: Micros) {
-        let truth = |s: &Server| s.reported.map_or(0.0, |at| (-((now - at) as f64) / MEMORY).exp());
-        let (mut latency, mut gaps) = (Moments::default(), Moments::default());
-        let (mut rho, mut known) = (RHO_PRIOR * 0.01, 0.01);
-        for s in self.servers.values().filter(|s| !s.origin) {
-            latency.pool(&s.latency);
-            gaps.pool(&s.gaps);
-            rho += truth(s) * s.rho;
-            known += truth(s);
-        }
-        let prior = self.aim as f64 / 4.0;
-        let (service, service_scv) = latency.shrunk(PRIOR_SAMPLES, prior, PRIOR_SCV);
-        self.long = long((service, service_scv));
-        let (gap, gap_scv) = gaps.shrunk(PRIOR_SAMPLES, 1e6, PRIOR_SCV);
-        self.servers.change(self.settings.zone, |s| {
-            // Silence is not health: an old report fades into the fleet's mean.
-            let t = truth(s);
-            let rho = (t * s.rho + (1.0 - t) * rho / known).clamp(0.0, RHO_MAX);
-            let (service, service_scv) = s.latency.shrunk(PRIOR_SAMPLES, service, service_scv);
-            let arrival_scv = s.gaps.shrunk(PRIOR_SAMPLES, gap, gap_scv).1;
-            let sure = if s.rho >= RHO_MAX { t * s.rho } else { 0.0 };
-            s.terms = Terms { rho, service, arrival_scv, service_scv }.planned(s.solved, sure);
-            s.origin = Some(s.member.kind) == self.settings.origin_kind;
-            let ramp = self.slow_start.ramp(s.member.age(now)).filter(|_| !s.origin);
-            s.cold = ramp.is_some();
-            s.listed = Some(s.member.weight).filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0);
-            s.weight = if s.member.phase == Phase::Ready { s.listed * ramp.unwrap_or(1.0) } else { 0.0 };
-        });
-        let far = self.far();
-        let caches = || self.servers.values().filter(|s| !s.origin);
-        let weights = caches().map(|s| s.weight * self.nearness(s, far)).sum();
-        let starting = caches().filter(|s| s.cold).count();
-        self.slow_start.listed(weights, starting);
-    }
-
     // ---- requests
 
     fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
@@ -737,120 +627,4 @@
             self.advance(now, next, out);
         }
     }
-
-    /// Those who waited for a finished request's fetch go to where its answer is kept.
-    fn share_fetch(&mut self, now: Micros, id: RequestId, o: &Open, out: &mut Vec<Action>) {
-        let Some(waiting) = self.fetches.get_mut(&o.request.key).filter(|_| !o.request.write) else { return };
-        if waiting.front() != Some(&id) {
-            return waiting.retain(|w| *w != id);
-        }
-        let waiting = self.fetches.remove(&o.request.key).unwrap_or_default();
-        let stored = o.attempts.last().is_some_and(|a| a.verdict == Some(Verdict::Served));
-        let keeper = o.missed_at().filter(|_| stored);
-        for w in waiting.into_iter().skip(1) {
-            // The cache that should hold the key by now, if an attempt is left after it for the origin.
-            let cache = self.open.get(&w).zip(keeper.and_then(|k| self.servers.get(&k)));
-            match cache.filter(|(o, s)| self.left(o) > 1 && self.permitted(now, o, s, None)).and(keeper) {
-                Some(server) => self.send(now, w, server, out),
-                None => self.advance(now, w, out),
-            }
-        }
-    }
-
-    // ---- aside mode: this router fetches what the caches lack
-
-    /// A parked request's timer: its key has rested, or its time is up.
-    fn parked_long(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get(&id).filter(|o| o.parked) else { return };
-        let left = o.request.deadline - now;
-        if left <= self.settings.period {
-            return self.finish(now, id, out);
-        }
-        let waits = self.fetches.get(&o.request.key).is_some_and(|w| w.contains(&id));
-        if waits || self.queue.contains(&id) {
-            return out.push(Action::Timer { after: left, token: Token(id.0) });
-        }
-        self.advance(now, id, out);
-    }
-
-    /// A read within quota that caches turn away is fetched all the same, once, where the origin has room to
-    /// spare and nothing waits for it. Else its answer is due.
-    fn spill(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let (origin, idle) = (self.settings.origin_kind.is_some(), self.queue.is_empty());
-        let spare = origin && idle && self.origin.spares(now, self.fetching());
-        let asked = |a: &Attempt| self.servers.get(&a.server).is_some_and(|s| s.origin);
-        let no = |o: &Open| o.request.write || o.over || self.left(o) == 0 || o.attempts.iter().any(asked);
-        match spare && self.open.get(&id).is_some_and(|o| !no(o)) && self.spills.take(Extra::Repeat) {
-            true => self.fetch(now, id, out),
-            false => self.finish(now, id, out),
-        }
-    }
-
-    /// Takes a request to the origin, or lets it wait for the same key's fetch or for a place.
-    fn fetch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get_mut(&id) else { return };
-        o.parked = true;
-        let (key, write, left) = (o.request.key, o.request.write, o.request.deadline - now);
-        out.push(Action::Timer { after: (left - self.settings.period).max(0), token: Token(id.0) });
-        if !write && key != Key(0) {
-            // A miss joins the fetch of its key that is out: the origin takes few. Till then who has most
-            // time left leads: what is fetched for a request that is over by then is kept nowhere.
-            let waiting = self.fetches.entry(key).or_default();
-            waiting.retain(|w| *w != id);
-            let leader = waiting.front().map_or(id, |w| *w);
-            let l = &self.open[&leader];
-            if l.parked && l.request.deadline <= now + left {
-                self.queue.retain(|q| *q != leader);
-                waiting.push_front(id);
-                self.queue.push(id);
-            } else {
-                waiting.push_back(id);
-                // Who waited behind a fetch that failed leads now, and waits for a place itself.
-                let queued = !l.parked || self.queue.contains(&leader);
-                self.queue.extend((!queued).then_some(leader));
-            }
-        } else {
-            self.queue.push(id);
-        }
-        self.drain_origin(now, out);
-    }
-
-    /// Gives up what waits for the origin without half the time left that it takes: asked in vain.
-    fn give_up(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let least = now + self.origin.pace().map_or(0, |pace| (pace / 2.0) as Micros);
-        let late =
-            |id: &RequestId| self.open.get(id).is_none_or(|o| !o.parked || o.request.deadline <= least);
-        let (late, queue) = std::mem::take(&mut self.queue).into_iter().partition(late);
-        self.queue = queue;
-        late.into_iter().for_each(|id: RequestId| self.finish(now, id, out));
-    }
-
-    /// Sends what waits for the origin while it takes more: first what has twice its usual time left, of that
-    /// what is worth most. A write is worth its class, a read all that wait for its key, and a part of those
-    /// that will ask for it; over quota it is worth as little as the site says.
-    fn drain_origin(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let takes = |m: &Self, out| m.origin.takes(now, out) && m.plan.fetches(out);
-        while !self.queue.is_empty() && takes(self, self.fetching()) {
-            self.queue.retain(|id| self.open.get(id).is_some_and(|o| o.parked && o.request.deadline > now));
-            let twice = now + (2.0 * self.origin_time.mean()) as Micros;
-            let worth = |id: &RequestId| {
-                let (r, o) = (&self.open[id].request, &self.open[id]);
-                let part = if o.over { self.settings.over_share_worth } else { 1.0 };
-                let waiting = self.fetches.get(&r.key).map_or(0, VecDeque::len).max(1) as f64;
-                let worth = if r.write { o.class.worth } else { waiting } * part;
-                let asked = if r.write { 0.0 } else { self.asked.count(mix(r.key.0)) };
-                (r.deadline > twice, worth + ASKED_WORTH * asked)
-            };
-            let all = self.queue.iter().map(worth).enumerate();
-            let best = all.max_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            let Some((best, _)) = best else { return };
-            let id = self.queue.remove(best);
-            let o = &self.open[&id];
-            let origins = self.servers.origins().filter(|s| self.permitted(now, o, s, None));
-            match origins.min_by_key(|s| (s.evicted_until > now, s.gate.out())).map(|s| s.member.server) {
-                Some(server) => self.send(now, id, server, out),
-                None => self.finish(now, id, out),
-            }
-        }
-    }
 }
