--- a/review/standin/held_answers.rs
+++ b/review/standin/held_answers.rs
@@ -2,11 +2,11 @@
 //! in the proxy for the one ahead of them.
 
 use crate::pipelines::{Pipelines, LAST_ANSWER};
-use crate::proxy::{list, Limits, Proxy};
+use crate::proxy::{list, Limits, Proxy, REYKJAVIK};
 use crate::record::Record;
 use crate::resp;
 use crate::servers;
-use crate::site::{OriginSpeed, Site};
+use crate::site::{OriginSpeed, Site, REYKJAVIK_SERVERS};
 use crate::Verdict;
 use std::io;
 use std::sync::Arc;
@@ -61,9 +61,9 @@
 /// If a stand-in or the proxy could not be started, or the proxy has crashed where its answers are judged.
 pub fn play(record: &Arc<Record>, case: Case, trouble: bool) -> io::Result<Verdict> {
     let limits = case.limits;
-    let site = Site::start(record, resp::MAX_VALUE)?;
+    let site = Site::start(record, REYKJAVIK_SERVERS, resp::MAX_VALUE)?;
     let list = list(&site.members);
-    let mut proxy = Proxy::start(record, limits, servers::discovery(list.clone())?, &list)?;
+    let mut proxy = Proxy::start(record, REYKJAVIK, limits, servers::discovery(list.clone())?, &list)?;
     // "Clients hold at most a third of the descriptors for requests" (LATER).
     let mut clients = Pipelines::new(proxy.address, limits.sockets / 3, case.interval);
     let (started, end, mut peak, mut crashed) = (Instant::now(), CALM + TROUBLE + AFTER, 0, false);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod held_answers;
+mod large_writes;
 mod pipelines;
 mod proxy;
 mod record;
@@ -48,6 +49,7 @@
         let verdict = match case.as_str() {
             "memory" => held_answers::play(&record, held_answers::MEMORY, trouble),
             "answers" => held_answers::play(&record, held_answers::ANSWERS, trouble),
+            "writes" => large_writes::play(&record, trouble),
             other => Err(std::io::Error::other(format!("no such case: {other}"))),
         };
         record.line(&format!("{verdict:?}"));
--- a/review/standin/pipelines.rs
+++ b/review/standin/pipelines.rs
@@ -21,6 +21,9 @@
 /// How long clients wait for the last answers.
 pub const LAST_ANSWER: Duration = Duration::from_secs(6);
 
+/// A resting connection that ends this soon after commands were sent on it was closed between requests.
+const CROSSING: Duration = Duration::from_millis(500);
+
 /// What has become of the commands.
 #[derive(Default)]
 pub struct Counts {
@@ -91,13 +94,22 @@
         let (number, proxy) = (self.number, self.proxy);
         thread::spawn(move || {
             let resting = lock(&idle).pop();
-            let mut answered = 0;
-            match converse(&record, number, proxy, resting, &counts, &mut answered) {
+            let (mut answered, crossing, began) = (0, resting.is_some(), Instant::now());
+            let mut result = converse(&record, number, proxy, resting, &counts, &mut answered);
+            // "If this crosses a request that it has not read, the client sends that request once more on a new
+            // connection" (PROTOCOL).
+            if result.is_err() && answered == 0 && crossing && began.elapsed() < CROSSING {
+                record.line(&format!("client {number}: closed between requests, sends once more"));
+                result = converse(&record, number, proxy, None, &counts, &mut answered);
+            }
+            match result {
                 Ok(socket) => lock(&idle).push(socket),
                 Err(error) => {
                     let lost = COMMANDS - answered;
                     counts.lost.fetch_add(lost as u64, Ordering::Relaxed);
-                    record.line(&format!("client {number}: {lost} commands without an answer: {error}"));
+                    record.line(&format!(
+                        "client {number}: LOST, {lost} commands without an answer in time: {error}"
+                    ));
                 }
             }
             counts.open.fetch_sub(1, Ordering::Relaxed);
--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -34,8 +34,8 @@
     format!(r#"{{"revision":1,"complete":true,"members":[{}]}}"#, entries.join(","))
 }
 
-/// The settings of the site, with the figures that the wire page shows for it.
-const SETTINGS: &str = r#"{"balancers":1,"me":0,"zone":0,"periodMs":5.0,"tier":0,"stages":["lookup-cache"],
+/// The settings of reykjavik-transfers, with the figures that the wire page shows for it.
+pub const REYKJAVIK: &str = r#"{"balancers":1,"me":0,"zone":0,"periodMs":5.0,"tier":0,"stages":["lookup-cache"],
 "classes":[{"group":"all","hardLimitMs":2000.0,"lateValue":0.0,"name":"lookup","onTimeMs":750.0,"points":1.0,"repeat":"retryable","streamed":false,"windowMs":5000.0},
 {"group":"all","hardLimitMs":2500.0,"lateValue":0.0,"name":"instruct","onTimeMs":1200.0,"points":3.0,"repeat":"dedup","streamed":false,"windowMs":4000.0}],
 "tenants":[{"name":"nordurbanki","quotaPerS":400.0,"share":1.0}],
@@ -48,6 +48,22 @@
 "rules":{"askWithinMs":10000.0,"coldFrom":0.15,"coldMs":23000.0,"drainGraceMs":2500.0,"fallMultiple":3.0,"graceToAnswerMs":20.0,"overloadForMs":1000.0},
 "stats":{"columns":["err_rps","cpu"],"source":"on_probe"},"weights":"nominal","workload":"cache","worthBy":"request"}"#;
 
+/// The settings of quito-archive, after its site file; "nothing in the program [...] may be fitted to one deployment"
+/// (STANDING).
+pub const QUITO: &str = r#"{"balancers":1,"me":0,"zone":0,"periodMs":5.0,"tier":0,"stages":["shelf"],
+"classes":[{"group":"all","hardLimitMs":8000.0,"lateValue":0.2,"name":"r","onTimeMs":2500.0,"points":1.0,"repeat":"retryable","streamed":false,"windowMs":5000.0},
+{"group":"all","hardLimitMs":20000.0,"lateValue":0.5,"name":"r2","onTimeMs":5000.0,"points":2.0,"repeat":"retryable","streamed":false,"windowMs":5000.0},
+{"group":"zone","hardLimitMs":10000.0,"lateValue":0.0,"name":"rw","onTimeMs":4000.0,"points":5.0,"repeat":"dedup","streamed":false,"windowMs":60000.0},
+{"group":"all","hardLimitMs":6000.0,"lateValue":0.0,"name":"rw.x","onTimeMs":3000.0,"points":3.0,"repeat":"fragile","streamed":false,"windowMs":0.0}],
+"tenants":[{"name":"r","quotaPerS":400.0,"share":0.9},{"name":"rw","quotaPerS":40.0,"share":0.1}],
+"zones":["n","north","north-2","Norte"],"flavors":["big","small","origin"],"discovery":"automatic","clients":{"marksRetry":true},
+"charges":{"connection":0.05,"crossZone":0.08,"handshake":0.01,"lateFail":0.03,"probe":0.03,"waste":0.02},
+"familyInfo":{"mode":"aside","originFallMs":3000.0,"originFallMultiple":2.5,"originKind":2},
+"limits":{"cancelling":true,"dialTimeoutMs":1000.0,"keepaliveMs":300000.0,"maxAttempts":6,"maxOpen":24289,"maxRetryAfterMs":4000.0,"multiplex":200,"peers":false,"probes":true,"retryAfter":true,"secondCopies":true},
+"overShareWorth":0.0,
+"rules":{"askWithinMs":10000.0,"coldFrom":0.15,"coldMs":25000.0,"drainGraceMs":5000.0,"fallMultiple":4.0,"graceToAnswerMs":20.0,"overloadForMs":2000.0},
+"stats":{"columns":["rps","cpu","avg_ms"],"source":"on_probe"},"weights":"nominal","workload":"cache","worthBy":"request"}"#;
+
 /// The limits of a proxy, as the configuration names them.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -68,14 +84,20 @@
     /// # Errors
     ///
     /// If the deploy file cannot be read, or the proxy does not start or is not ready in time.
-    pub fn start(record: &Record, limits: Limits, discovery: SocketAddr, list: &str) -> io::Result<Proxy> {
+    pub fn start(
+        record: &Record,
+        settings: &str,
+        limits: Limits,
+        discovery: SocketAddr,
+        list: &str,
+    ) -> io::Result<Proxy> {
         let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
         let folder = std::env::temp_dir().join(format!("martenweir-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let config = folder.join("config.json");
         let text = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{list},"settings":{SETTINGS}}}"#,
+"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{list},"settings":{settings}}}"#,
             limits.memory_mb, limits.sockets
         );
         fs::write(&config, text)?;
