--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+mod gone;
 mod held_answers;
 mod large_writes;
 mod pipelines;
@@ -50,6 +51,7 @@
             "memory" => held_answers::play(&record, held_answers::MEMORY, trouble),
             "answers" => held_answers::play(&record, held_answers::ANSWERS, trouble),
             "writes" => large_writes::play(&record, trouble),
+            "gone" => gone::play(&record, trouble),
             other => Err(std::io::Error::other(format!("no such case: {other}"))),
         };
         record.line(&format!("{verdict:?}"));
--- a/review/standin/servers.rs
+++ b/review/standin/servers.rs
@@ -1,20 +1,35 @@
 //! Stand-ins of the servers: cache nodes, the origin and discovery, as the protocol page describes them.
 //! Each connection has a thread, and answers leave in the order of the requests.
 
-use crate::record::Record;
+use crate::record::{lock, Record};
 use crate::resp;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Stack of a connection's thread, in bytes.
 const STACK: usize = 256 * 1024;
 /// How often discovery sends an empty line (PROTOCOL).
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
+/// The requests that have begun at the origin, with their times.
+#[derive(Default)]
+pub struct Begun(Mutex<Vec<(String, Instant)>>);
+
+impl Begun {
+    fn add(&self, id: &str) {
+        lock(&self.0).push((id.to_owned(), Instant::now()));
+    }
+
+    /// Those whose id begins with `prefix`.
+    pub fn of(&self, prefix: &str) -> Vec<(String, Instant)> {
+        lock(&self.0).iter().filter(|(id, _)| id.starts_with(prefix)).cloned().collect()
+    }
+}
+
 /// Binds a free port of the loopback address and serves each connection in a thread of its own.
 pub fn serve(handle: impl Fn(TcpStream) -> io::Result<()> + Send + Sync + 'static) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
@@ -65,7 +80,12 @@
 }
 
 /// The origin: answers each request after `delay_ms`, with `value_bytes` for a read and a receipt for a write.
-pub fn origin(record: Arc<Record>, delay_ms: Arc<AtomicU64>, value_bytes: usize) -> io::Result<SocketAddr> {
+pub fn origin(
+    record: Arc<Record>,
+    begun: Arc<Begun>,
+    delay_ms: Arc<AtomicU64>,
+    value_bytes: usize,
+) -> io::Result<SocketAddr> {
     serve(move |socket| {
         let _ = socket.set_nodelay(true);
         let mut out = socket.try_clone()?;
@@ -87,6 +107,7 @@
             }
             io::copy(&mut from.by_ref().take(length), &mut io::sink())?;
             let method = request.split(' ').next().unwrap_or_default();
+            begun.add(&id);
             record.line(&format!("origin begins {method} {id}"));
             thread::sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed)));
             record.line(&format!("origin has run {method} {id}"));
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -2,6 +2,7 @@
 
 use crate::proxy::Member;
 use crate::record::Record;
+use crate::servers::Begun;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -35,6 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 pub enum OriginSpeed {
     Usual,
+    /// As for a write: one to three times as long as usual (BENCH, `origin_write`).
+    Write,
     Slow,
 }
 
@@ -42,6 +45,8 @@
 pub struct Site {
     pub members: Vec<Member>,
     servers: Servers,
+    /// What has begun at the origin.
+    pub begun: Arc<Begun>,
     /// The origin's time for a request, in ms.
     origin_ms: Arc<AtomicU64>,
 }
@@ -55,21 +60,23 @@
     pub fn start(record: &Arc<Record>, servers: Servers, value_bytes: usize) -> io::Result<Site> {
         let origin_ms = Arc::new(AtomicU64::new(servers.origin_ms[0]));
         let Servers { flavor, zones, .. } = servers;
+        let begun = Arc::new(Begun::default());
         let mut members = Vec::new();
         for i in 0..NODES {
             let id = format!("s-{i}");
             let address = crate::servers::cache_node(record.clone(), id.clone(), value_bytes, NODE_WORK)?;
             members.push(Member { id, address, flavor, locality: zones[i % 2] });
         }
-        let address = crate::servers::origin(record.clone(), origin_ms.clone(), value_bytes)?;
+        let address = crate::servers::origin(record.clone(), begun.clone(), origin_ms.clone(), value_bytes)?;
         members.push(Member { id: "s-origin".into(), address, flavor: "origin", locality: zones[0] });
-        Ok(Site { members, servers, origin_ms })
+        Ok(Site { members, servers, begun, origin_ms })
     }
 
     /// Sets the speed of the origin for the requests that begin from now on.
     pub fn set_origin(&self, record: &Record, speed: OriginSpeed) {
         let ms = match speed {
             OriginSpeed::Usual => self.servers.origin_ms[0],
+            OriginSpeed::Write => self.servers.origin_ms[0] * 3,
             OriginSpeed::Slow => self.servers.origin_ms[1],
         };
         if self.origin_ms.swap(ms, Ordering::Relaxed) != ms {
