Count what is held in memory for connections by kind, and log it

The change: connections report what is held for them by kind (admission/held.rs). While it is more than an eighth of limits.memory_mb a line 'memory' tells it each second, at its highest since the line before, with the resident memory beside it.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -32,12 +32,14 @@
 mod budget;
 mod bytes;
 pub mod drain;
+mod held;
 mod idle;
 mod pace;
 mod rank;
 mod sources;
 
 pub use budget::{Budget, PortKind, RESERVE};
+pub use held::{HeldBytes, HeldKind, HeldMemory, HeldShare};
 pub use rank::{Activity, CloseReason, Rank, WaitingFor};
 
 use crate::core::DownstreamId;
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -6,8 +6,8 @@
 use super::{
     consume, peek, read, read_without_yield, send_event, write, Caller, EventSender, NetEvent, READ,
 };
-use crate::admission::Activity;
 pub use crate::admission::WaitingFor;
+use crate::admission::{Activity, HeldBytes, HeldKind, HeldShare};
 use crate::core::{Answer, DownstreamId, Input};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -174,6 +174,8 @@
     pub queue: EventSender,
     pub progress: Rc<SharedActivity>,
     pub caller: Caller,
+    /// The memory held for it, as the log shows it.
+    pub held: HeldShare,
     /// Bytes received so far.
     pub input: Cell<Vec<u8>>,
     /// Whether it was told to finish before it sent anything.
@@ -187,15 +189,6 @@
     Ready(Vec<u8>),
 }
 
-impl Slot {
-    fn bytes(&self) -> usize {
-        match self {
-            Slot::Pending(n) => *n,
-            Slot::Ready(answer) => answer.len(),
-        }
-    }
-}
-
 struct Downstream {
     link: Link,
     protocol: Box<dyn Protocol>,
@@ -270,13 +263,13 @@
                 progress.set_waiting_for(WaitingFor::Close);
                 return farewell(&self.link.socket).await;
             }
-            let held = self.output.len() - self.written + self.input.len();
-            let held = held + self.answers.iter().map(Slot::bytes).sum::<usize>();
+            let held = self.held_bytes();
+            self.link.held.set(held);
             let (part, more) = (self.input.len(), self.protocol.is_mid_command());
             progress.update(|activity| {
                 activity.partial_bytes = part.max(more.into());
                 // Rounded down to KiB, because not every read is worth a report.
-                activity.held_bytes = held / 1024 * 1024;
+                activity.held_bytes = held.total() / 1024 * 1024;
                 activity.waiting_for = match unread {
                     true => WaitingFor::Peer,
                     _ if !idle => WaitingFor::Answer,
@@ -342,6 +335,22 @@
         }
     }
 
+    /// What is held for this downstream.
+    fn held_bytes(&self) -> HeldBytes {
+        let (mut commands, mut waiting_answers) = (0, 0);
+        for slot in &self.answers {
+            match slot {
+                Slot::Pending(command) => commands += command,
+                Slot::Ready(answer) => waiting_answers += answer.len(),
+            }
+        }
+        HeldBytes::default()
+            .with(HeldKind::Input, self.input.len())
+            .with(HeldKind::Commands, commands)
+            .with(HeldKind::WaitingAnswers, waiting_answers)
+            .with(HeldKind::UnreadOutput, self.output.len() - self.written)
+    }
+
     /// Takes the whole commands that have arrived, as far as there is room for their answers.
     async fn take_commands(&mut self) {
         let mut at = 0;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::memcached::node as memcached;
 use super::{consume, origin, peek, read, send_event, write_all, EventSender, LogEntry};
+use crate::admission::{HeldBytes, HeldKind, HeldShare};
 use crate::codec::http::PeerState;
 use crate::codec::{self, resp, Malformed, Parsed};
 use crate::core::{ConnectionId, Input, Job, Reply, Stage, READ_RESULTS};
@@ -175,6 +176,7 @@
     jobs: impl Into<JobQueue>,
     queue: EventSender,
     columns: Rc<Vec<String>>,
+    held: HeldShare,
 ) {
     let JobQueue { taken: jobs, written } = jobs.into();
     let socket = match Async::<TcpStream>::connect(address).await {
@@ -184,7 +186,8 @@
     let _ = socket.get_ref().set_nodelay(true);
     send_event(&queue, Input::Connected(id)).await;
     let (number, input, output) = (0, Vec::new(), Vec::new());
-    let mut connection = Connection { socket, address, protocol, number, written, input, output, columns };
+    let mut connection =
+        Connection { socket, address, protocol, number, written, input, output, columns, held };
     loop {
         let job = match connection.next_job(&jobs).await {
             Some(job) => job,
@@ -216,6 +219,7 @@
     /// The encoded job.
     output: Vec<u8>,
     columns: Rc<Vec<String>>,
+    held: HeldShare,
 }
 
 impl Connection {
@@ -286,8 +290,11 @@
             };
             let parsed = self.protocol.decode(&self.input, &context, rest);
             let parsed = parsed.map_err(|m| (Stage::Reading, Some(m)))?;
-            if let Some((mut reply, taken)) = parsed {
+            if let Some((_, taken)) = parsed {
                 consume(&mut self.input, taken);
+            }
+            self.held.set(HeldBytes::default().with(HeldKind::Replies, self.input.len()));
+            if let Some((mut reply, _)) = parsed {
                 if self.number == 1 && reply.verdict == Verdict::Full {
                     reply.no_place = self.closes_soon().await;
                     reply.keep &= !reply.no_place;
--- a/src/owner/downstreams.rs
+++ b/src/owner/downstreams.rs
@@ -3,7 +3,7 @@
 //! [`Downstreams::remove`].
 
 use super::ports::Service;
-use crate::admission::Activity;
+use crate::admission::{Activity, HeldMemory, HeldShare};
 use crate::core::{DownstreamId, Input};
 use crate::net::accept::Socket;
 use crate::net::downstream::{ChangedDownstreams, Link, SharedActivity, TaskMessage, WaitingFor};
@@ -47,12 +47,15 @@
 pub(super) struct Downstreams {
     open: HashMap<DownstreamId, Downstream>,
     moved: Rc<ChangedDownstreams>,
+    held: Rc<HeldMemory>,
     last_id: u64,
 }
 
 impl Downstreams {
-    pub(super) fn new(queue: EventSender) -> Self {
-        Downstreams { open: HashMap::new(), moved: Rc::new(ChangedDownstreams::new(queue)), last_id: 0 }
+    /// `held` counts the memory held for all connections.
+    pub(super) fn new(queue: EventSender, held: Rc<HeldMemory>) -> Self {
+        let moved = Rc::new(ChangedDownstreams::new(queue));
+        Downstreams { open: HashMap::new(), moved, held, last_id: 0 }
     }
 
     /// Adds a downstream; `serve` makes its task from its link.
@@ -76,6 +79,7 @@
             queue: queue.clone(),
             progress: progress.clone(),
             caller: new.caller,
+            held: HeldShare::new(self.held.clone()),
             input: Cell::default(),
             finishing: false,
         });
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -22,7 +22,7 @@
 mod upstreams;
 
 use crate::admission::drain::Drain;
-use crate::admission::{Admission, CloseReason, Counts, Limits, MemoryAction};
+use crate::admission::{Admission, CloseReason, Counts, HeldMemory, Limits, MemoryAction};
 use crate::clock::Clock;
 use crate::codec::discovery::hash_id;
 use crate::config::Config;
@@ -86,6 +86,8 @@
     planners: Option<Planners>,
     controls: Option<Controls>,
     report: Report,
+    /// The memory held for all connections.
+    held: Rc<HeldMemory>,
     /// The door's counters when the figures were last flushed.
     flushed: Counts,
     started: Micros,
@@ -144,6 +146,7 @@
         (answers, executor.spawn(snmp.notify(move || clock.now())))
     });
     let door = Admission::new(&door, limits);
+    let held = Rc::new(HeldMemory::default());
     let mut event_loop = EventLoop {
         clock,
         core: Core::new(
@@ -159,13 +162,14 @@
         vocabulary: Rc::new(CommandParser { site: site.clone(), ready: false.into() }),
         ports,
         door,
-        downstreams: Downstreams::new(queue.clone()),
-        upstreams: Upstreams::new(site.columns.clone()),
+        downstreams: Downstreams::new(queue.clone(), held.clone()),
+        upstreams: Upstreams::new(site.columns.clone(), held.clone()),
         discovery: Discovery::new(path, config.discovery),
         side,
         planners,
         controls,
-        report: Report::new(now),
+        report: Report::new(now, config.memory),
+        held,
         flushed: Counts::default(),
         started: now,
         swept: now,
@@ -464,6 +468,7 @@
         }
         self.publish(now);
         self.report.tick(now, &self.core, &self.door);
+        self.report.memory(now, &self.held);
     }
 
     /// Publishes a snapshot to the SNMP agent, if there is one and an update is due.
--- a/src/owner/report.rs
+++ b/src/owner/report.rs
@@ -1,6 +1,6 @@
 //! Rate-limited log lines about peers, and the periodic figures.
 
-use crate::admission::{Admission, Counts};
+use crate::admission::{Admission, Counts, HeldKind, HeldMemory};
 use crate::core::Core;
 use crate::interface::Micros;
 use crate::net::LogEntry;
@@ -11,17 +11,29 @@
 const MAX_NOTES: u64 = 20;
 /// How often the figures are logged.
 const FIGURES_INTERVAL: Micros = 10_000_000;
+/// How often the memory held for connections is logged, while it is more than this fraction of the limit.
+const MEMORY_INTERVAL: Micros = 1_000_000;
+const MEMORY_LOG_DIVISOR: usize = 8;
 
 #[derive(Debug)]
 pub(super) struct Report {
     /// Lines about peers since the last figures line.
     notes: u64,
     last_figures: Micros,
+    last_memory: Micros,
+    /// Bytes held for connections above which they are logged.
+    memory_log_threshold: usize,
 }
 
 impl Report {
-    pub(super) fn new(now: Micros) -> Self {
-        Report { notes: 0, last_figures: now }
+    /// `memory` is what the process may use, in bytes.
+    pub(super) fn new(now: Micros, memory: usize) -> Self {
+        Report {
+            notes: 0,
+            last_figures: now,
+            last_memory: now,
+            memory_log_threshold: memory / MEMORY_LOG_DIVISOR,
+        }
     }
 
     /// Logs a warning about a peer, up to the limit.
@@ -47,6 +59,43 @@
             warn!(event = "left_out", lines, "{lines} further lines about peers suppressed");
         }
     }
+
+    /// Logs what is held in memory for connections, if it was much since the last time.
+    pub(super) fn memory(&mut self, now: Micros, held: &HeldMemory) {
+        if now - self.last_memory < MEMORY_INTERVAL {
+            return;
+        }
+        self.last_memory = now;
+        let peak = held.take_peak();
+        if peak.total() < self.memory_log_threshold {
+            return;
+        }
+        let (bytes, resident) = (peak.total(), resident_bytes());
+        let [input, commands, waiting_answers, unread_output, replies] =
+            HeldKind::ALL.map(|kind| peak.of(kind));
+        info!(
+            event = "memory",
+            bytes,
+            input,
+            commands,
+            waiting_answers,
+            unread_output,
+            replies,
+            resident,
+            "memory: at most {bytes} bytes held for connections: input {input} commands {commands} waiting \
+             answers {waiting_answers} unread output {unread_output} replies {replies}; resident {resident}"
+        );
+    }
+}
+
+/// The memory of this process that is no file's, in bytes (`RssAnon` and `RssShmem`, see proc(5)); 0 if it
+/// cannot be read.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let fields = status.lines().filter_map(|line| line.split_once(':'));
+    let resident = fields.filter(|(name, _)| matches!(*name, "RssAnon" | "RssShmem"));
+    let kilobytes = resident.filter_map(|(_, size)| size.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    kilobytes.sum::<u64>() * 1024
 }
 
 /// Logs the counters since the start and what is open now.
--- a/src/owner/upstreams.rs
+++ b/src/owner/upstreams.rs
@@ -1,6 +1,7 @@
 //! Connections to nodes and the origin, one task each. When to dial, what to send and when to close is
 //! decided by the core.
 
+use crate::admission::{HeldMemory, HeldShare};
 use crate::core::{ConnectionId, Job, Stage};
 use crate::net::upstream::{run_connection, JobQueue, UpstreamProtocol};
 use crate::net::EventSender;
@@ -20,11 +21,13 @@
     open: HashMap<ConnectionId, Upstream>,
     /// The column names in load reports.
     columns: Rc<Vec<String>>,
+    held: Rc<HeldMemory>,
 }
 
 impl Upstreams {
-    pub(super) fn new(columns: Vec<String>) -> Self {
-        Upstreams { open: HashMap::new(), columns: Rc::new(columns) }
+    /// `held` counts the memory held for all connections.
+    pub(super) fn new(columns: Vec<String>, held: Rc<HeldMemory>) -> Self {
+        Upstreams { open: HashMap::new(), columns: Rc::new(columns), held }
     }
 
     pub(super) fn dial(
@@ -38,8 +41,9 @@
         // One request at a time: a second job is never queued.
         let (jobs, receiver) = async_channel::bounded(1);
         let given = JobQueue::from(receiver);
+        let (columns, held) = (self.columns.clone(), HeldShare::new(self.held.clone()));
         let connection_task =
-            run_connection(id, address, dialect, given.clone(), queue.clone(), self.columns.clone());
+            run_connection(id, address, dialect, given.clone(), queue.clone(), columns, held);
         let task = executor.spawn(connection_task);
         self.open.insert(id, Upstream { jobs, given, _task: task });
     }
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -5,7 +5,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future::yield_now;
-use martenweir::admission::{PortKind, WaitingFor};
+use martenweir::admission::{HeldShare, PortKind, WaitingFor};
 use martenweir::core::{DownstreamId, Input};
 use martenweir::net::accept::{accept, ConnectionLimiter, Socket};
 use martenweir::net::downstream::{serve, ChangedDownstreams, Link, SharedActivity, TaskMessage};
@@ -46,7 +46,17 @@
     let caller = Caller { client, via: None };
     let (input, finishing) = (Cell::default(), false);
     let (id, held, shows) = (DownstreamId(1), socket.clone(), progress.clone());
-    let link = Link { id, socket, orders, queue: queue.clone(), progress, caller, input, finishing };
+    let link = Link {
+        id,
+        socket,
+        orders,
+        queue: queue.clone(),
+        progress,
+        caller,
+        held: HeldShare::new(Rc::default()),
+        input,
+        finishing,
+    };
     let task = executor.spawn(async move {
         serve(link, Box::new(Echo)).await;
         let _ = queue.send(NetEvent::Core(Input::DownstreamClosed(id))).await;
--- a/tests/memcached.rs
+++ b/tests/memcached.rs
@@ -2,7 +2,7 @@
 //! connection.
 
 use async_executor::LocalExecutor;
-use martenweir::admission::PortKind;
+use martenweir::admission::{HeldShare, PortKind};
 use martenweir::core::{Answer, DownstreamId, Input, NewStream};
 use martenweir::net::accept::Socket;
 use martenweir::net::command::CommandParser;
@@ -216,6 +216,7 @@
             Rc::new(ChangedDownstreams::new(tell)),
         )),
         caller: Caller { client, via: None },
+        held: HeldShare::new(Rc::default()),
         input: Cell::default(),
         finishing: false,
     };
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -2,6 +2,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use martenweir::admission::HeldShare;
 use martenweir::codec::http::{self, PeerState};
 use martenweir::core::{ConnectionId, Input, Job, Message, Stage};
 use martenweir::interface::Verdict;
@@ -31,8 +32,9 @@
     let (event_sender, news) = async_channel::bounded(4);
     let (send_job, jobs) = async_channel::bounded(1);
     let executor = LocalExecutor::new();
+    let (columns, held) = (Rc::new(Vec::new()), HeldShare::new(Rc::default()));
     let connection_task =
-        run_connection(ConnectionId(1), address, dialect, jobs, event_sender, Rc::new(Vec::new()));
+        run_connection(ConnectionId(1), address, dialect, jobs, event_sender, columns, held);
     let _task = executor.spawn(connection_task);
     async_io::block_on(executor.run(async {
         assert!(matches!(news.recv().await, Ok(NetEvent::Core(Input::Connected(_)))));
