Reserve room for answers that wait behind another one on their connection

Cause: reads behind a slow write on a connection are answered by cache nodes within milliseconds, and their values, 64 KiB each, wait in net/downstream.rs for the write. The byte budget counts what is held, too late for a read that weighs 100 bytes when it is taken, and nothing else bounded the sum. The change: 65 KiB are reserved for the answer of a command that is not the next one of its connection, from an eighth of limits.memory_mb that all connections share (admission/reservations.rs, net/answer_queue.rs). It shrinks to the answer's size and ends when that is written. A command without room stays unparsed, in a queue, and is taken at the latest when all in front of it is written; its answer then waits behind none. So the sum cannot exceed the budget, no connection stands still, and nothing is refused for it. The byte budget, which pauses reading, no longer counts these answers: pausing frees none. An answer is written from its own buffer, no longer copied into one that grew by doubling. Ruled out: refusing answers that are held (a read of a class that may not be repeated has run); fewer commands at once (the sum would still grow with the connections).

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -36,11 +36,13 @@
 mod idle;
 mod pace;
 mod rank;
+mod reservations;
 mod sources;
 
 pub use budget::{Budget, PortKind, RESERVE};
 pub use held::{HeldBytes, HeldKind, HeldMemory, HeldShare};
 pub use rank::{Activity, CloseReason, Rank, WaitingFor};
+pub use reservations::{QueueTicket, Reservation, ReservationBudget};
 
 use crate::core::DownstreamId;
 use crate::interface::Micros;
@@ -68,6 +70,10 @@
 const LAST_SLOTS_DIVISOR: usize = 32;
 /// Eviction starts above the soft limit and stops this fraction below it.
 const HYSTERESIS_DIVISOR: usize = 8;
+/// The shares of the memory limit that downstreams may hold, and that answers may take that wait for the one
+/// ahead of them on their connection.
+const HELD_DIVISOR: usize = 4;
+const WAITING_ANSWERS_DIVISOR: usize = 8;
 
 /// Settings from the proxy's own configuration file.
 #[derive(Clone, Debug, PartialEq)]
@@ -80,6 +86,18 @@
     pub memory_bytes: Option<usize>,
 }
 
+impl Settings {
+    /// Bytes that downstreams may hold, of `memory` bytes.
+    fn held_limit(&self, memory: usize) -> usize {
+        self.memory_bytes.unwrap_or(memory / HELD_DIVISOR)
+    }
+
+    /// Bytes that answers may take that wait for the one ahead of them, of `memory` bytes.
+    pub fn waiting_answers_limit(&self, memory: usize) -> usize {
+        self.held_limit(memory) / (WAITING_ANSWERS_DIVISOR / HELD_DIVISOR)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings { soft_limit_ratio: 0.2, source_ratio: 0.5, memory_bytes: None }
@@ -206,7 +224,7 @@
             open: [0; 2],
             idle: Default::default(),
             sources: Sources::default(),
-            bytes: ByteBudget::new(settings.memory_bytes.unwrap_or(limits.memory / 4)),
+            bytes: ByteBudget::new(settings.held_limit(limits.memory)),
             timing: Timing::new(),
             due: BTreeSet::new(),
             over_soft_limit: false,
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -2,18 +2,19 @@
 //! [`Protocol`] of the port defines their form.
 
 use super::accept::Socket;
+use super::answer_queue::AnswerQueue;
+pub use super::answer_queue::MAX_ANSWER;
 use super::protocol::{Parsed, Protocol};
 use super::{
     consume, peek, read, read_without_yield, send_event, write, Caller, EventSender, NetEvent, READ,
 };
 pub use crate::admission::WaitingFor;
-use crate::admission::{Activity, HeldBytes, HeldKind, HeldShare};
+use crate::admission::{Activity, HeldBytes, HeldKind, HeldShare, ReservationBudget};
 use crate::core::{Answer, DownstreamId, Input};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -164,6 +165,8 @@
     Read(io::Result<usize>),
     Wrote(io::Result<usize>),
     DelayElapsed,
+    /// There may be room for the answer to another command.
+    Room,
 }
 
 /// Everything the task of a downstream is given: its socket and the channels from and to the owner.
@@ -176,30 +179,19 @@
     pub caller: Caller,
     /// The memory held for it, as the log shows it.
     pub held: HeldShare,
+    /// The room for answers that have to wait, which all downstreams share.
+    pub answers: Rc<ReservationBudget>,
     /// Bytes received so far.
     pub input: Cell<Vec<u8>>,
     /// Whether it was told to finish before it sent anything.
     pub finishing: bool,
 }
 
-/// The slot of one answer in the output order.
-enum Slot {
-    /// The answer to a command of this many bytes is not known yet.
-    Pending(usize),
-    Ready(Vec<u8>),
-}
-
 struct Downstream {
     link: Link,
     protocol: Box<dyn Protocol>,
-    /// How many of the answers belong to one command; 0 if each stands alone.
-    batch: usize,
     input: Vec<u8>,
-    output: Vec<u8>,
-    written: usize,
-    /// Answers in order; the first has the place `first`.
-    answers: VecDeque<Slot>,
-    first: u64,
+    answers: AnswerQueue,
     /// A delayed local reply with its timer; no command is taken in the meantime.
     delayed: Option<(u64, Vec<u8>, Timer)>,
     /// Closes once no answer is owed and no bytes are unread.
@@ -213,7 +205,7 @@
 /// Serves a downstream until it closes, sends malformed bytes or is told to finish.
 pub async fn serve(link: Link, protocol: Box<dyn Protocol>) {
     let _ = link.socket.get_ref().set_nodelay(true);
-    let (input, output, answers) = (link.input.take(), Vec::new(), VecDeque::new());
+    let (input, answers) = (link.input.take(), AnswerQueue::new(link.answers.clone()));
     let mut downstream = Downstream {
         delayed: None,
         finishing: link.finishing,
@@ -221,12 +213,8 @@
         closing: false,
         link,
         protocol,
-        batch: 0,
         input,
-        output,
-        written: 0,
         answers,
-        first: 0,
     };
     downstream.protocol.received(downstream.input.len());
     downstream.run().await;
@@ -243,7 +231,7 @@
             }
             // Flushes first to make room: if the answers before the waiting commands are silent, nothing
             // would wake this task for them later.
-            self.flush_answers();
+            self.answers.flush(&mut *self.protocol);
             // A client that sent much at once may have closed behind it; its close is noticed before its
             // commands are taken.
             let reads = self.input.len() < read_ahead && !progress.paused.get();
@@ -251,12 +239,17 @@
                 return;
             }
             let full_buffer = reads && self.input.len() >= READ;
-            if !(full_buffer && self.link.socket.is_readable()) {
-                self.take_commands().await;
+            match full_buffer && self.link.socket.is_readable() {
+                true => self.answers.leave_queue(),
+                false => self.take_commands().await,
             }
-            self.flush_answers();
-            let unread = self.written < self.output.len();
-            let idle = !unread && self.answers.is_empty();
+            self.answers.flush(&mut *self.protocol);
+            if self.answers.is_idle() && self.answers.ticket().is_some() {
+                // The answers were silent, so nothing else would wake this task for the command that waits.
+                continue;
+            }
+            let unread = self.answers.unwritten() > 0;
+            let idle = self.answers.is_idle();
             let quiet = self.finishing && self.link.socket.has_nothing_unread();
             self.closing |= idle && quiet && (self.finish_now || self.input.is_empty());
             if self.closing && idle {
@@ -268,8 +261,9 @@
             let (part, more) = (self.input.len(), self.protocol.is_mid_command());
             progress.update(|activity| {
                 activity.partial_bytes = part.max(more.into());
-                // Rounded down to KiB, because not every read is worth a report.
-                activity.held_bytes = held.total() / 1024 * 1024;
+                // Waiting answers have a budget of their own. Rounded down to KiB, because not every read is
+                // worth a report.
+                activity.held_bytes = (held.total() - held.of(HeldKind::WaitingAnswers)) / 1024 * 1024;
                 activity.waiting_for = match unread {
                     true => WaitingFor::Peer,
                     _ if !idle => WaitingFor::Answer,
@@ -285,7 +279,7 @@
             let writes = unread && !(self.finish_now && !quiet && reads);
             let write = async {
                 match writes {
-                    true => Wakeup::Wrote(write(&self.link.socket, &self.output[self.written..]).await),
+                    true => Wakeup::Wrote(write(&self.link.socket, self.answers.unwritten_chunk()).await),
                     false => future::pending().await,
                 }
             };
@@ -303,22 +297,27 @@
                 };
                 Wakeup::DelayElapsed
             };
-            match future::or(write, future::or(order, future::or(due, read))).await {
+            // Last, because commands that wait for room are taken only once nothing more can be read.
+            let room = async {
+                match self.answers.ticket() {
+                    Some(ticket) => ticket.room().await,
+                    None => future::pending().await,
+                };
+                Wakeup::Room
+            };
+            match future::or(write, future::or(order, future::or(due, future::or(read, room)))).await {
                 Wakeup::Order(Some(order)) => self.handle_message(order),
+                Wakeup::Room => {}
                 Wakeup::DelayElapsed => {
                     if let Some((place, answer, _)) = self.delayed.take() {
-                        self.complete(place, answer);
+                        self.answers.complete(place, answer);
                     }
                 }
                 Wakeup::Wrote(Ok(n)) if n > 0 => {
                     progress.step();
-                    self.written += n;
-                    if self.written == self.output.len() {
-                        consume(&mut self.output, self.written);
-                        self.written = 0;
-                        if self.batch == 0 {
-                            self.protocol.flushed();
-                        }
+                    self.answers.wrote(n);
+                    if self.answers.is_flushed() {
+                        self.protocol.flushed();
                     }
                 }
                 // Any other result ends the task. In particular a second end of stream while closing must not
@@ -337,27 +336,17 @@
 
     /// What is held for this downstream.
     fn held_bytes(&self) -> HeldBytes {
-        let (mut commands, mut waiting_answers) = (0, 0);
-        for slot in &self.answers {
-            match slot {
-                Slot::Pending(command) => commands += command,
-                Slot::Ready(answer) => waiting_answers += answer.len(),
-            }
-        }
-        HeldBytes::default()
-            .with(HeldKind::Input, self.input.len())
-            .with(HeldKind::Commands, commands)
-            .with(HeldKind::WaitingAnswers, waiting_answers)
-            .with(HeldKind::UnreadOutput, self.output.len() - self.written)
+        self.answers.held().with(HeldKind::Input, self.input.len())
     }
 
     /// Takes the whole commands that have arrived, as far as there is room for their answers.
     async fn take_commands(&mut self) {
         let mut at = 0;
-        while !self.closing && self.has_room() {
-            let place = self.first + self.answers.len() as u64;
-            let rest = self.input.get(at..).filter(|rest| !rest.is_empty());
-            let Some((taken, parsed)) = rest.and_then(|b| self.protocol.parse(self.link.id, place, b)) else {
+        while at < self.input.len() && !self.closing && self.has_room() {
+            let place = self.answers.next_place();
+            let Some((taken, parsed)) = self.protocol.parse(self.link.id, place, &self.input[at..]) else {
+                // What has arrived is no whole command.
+                self.answers.leave_queue();
                 break;
             };
             at += taken;
@@ -376,22 +365,21 @@
             });
             match parsed {
                 Parsed::Incomplete => {}
-                Parsed::Local(answer) => self.answers.push_back(Slot::Ready(answer)),
+                Parsed::Local(answer) => self.answers.push_ready(answer),
                 Parsed::Delayed(answer, time) => {
-                    self.answers.push_back(Slot::Pending(taken));
+                    self.answers.push_pending(taken);
                     self.delayed = Some((place, answer, Timer::after(time)));
                 }
                 Parsed::Close(answer) | Parsed::Malformed(answer) => {
-                    self.answers.push_back(Slot::Ready(answer));
+                    self.answers.push_ready(answer);
                     self.closing = true;
                 }
                 Parsed::Stream(ask) => {
-                    self.answers.push_back(Slot::Pending(taken));
+                    self.answers.push_pending(taken);
                     send_event(&self.link.queue, Input::Stream(*ask)).await;
                 }
                 Parsed::Streams(asks) => {
-                    self.batch = asks.len();
-                    self.answers.extend(asks.iter().map(|_| Slot::Pending(taken)));
+                    self.answers.push_batch(taken, asks.len());
                     for ask in asks {
                         send_event(&self.link.queue, Input::Stream(ask)).await;
                     }
@@ -402,35 +390,22 @@
     }
 
     /// Whether another command may be taken.
-    fn has_room(&self) -> bool {
-        match self.protocol.is_exclusive() {
-            true => self.answers.is_empty() && self.output.is_empty(),
+    fn has_room(&mut self) -> bool {
+        let may_take = match self.protocol.is_exclusive() {
+            true => self.answers.is_idle(),
             // Small commands can have long answers: a client that doesn't read them may not send more
             // commands.
             false => {
-                let room = self.answers.len() < self.protocol.max_streams()
-                    && self.output.len() <= MAX_UNREAD_OUTPUT;
-                room && self.delayed.is_none()
+                self.answers.len() < self.protocol.max_streams()
+                    && self.answers.unwritten() <= MAX_UNREAD_OUTPUT
+                    && self.delayed.is_none()
             }
+        };
+        if !may_take {
+            self.answers.leave_queue();
+            return false;
         }
-    }
-
-    /// Moves finished answers to the output in their order; those of one command go together.
-    fn flush_answers(&mut self) {
-        let ready = self.answers.iter().take_while(|a| matches!(a, Slot::Ready(_))).count();
-        if ready < self.batch {
-            return;
-        }
-        self.first += ready as u64;
-        self.protocol.answers_taken(ready);
-        let answers = self.answers.drain(..ready).map(|place| match place {
-            Slot::Ready(answer) => answer,
-            Slot::Pending(_) => Vec::new(),
-        });
-        if std::mem::take(&mut self.batch) > 0 {
-            return self.protocol.combine(&mut self.output, answers.collect());
-        }
-        answers.for_each(|answer| self.output.extend(answer));
+        self.answers.has_room()
     }
 
     fn handle_message(&mut self, order: TaskMessage) {
@@ -440,17 +415,10 @@
             TaskMessage::Refresh => self.link.progress.refreshed(),
             TaskMessage::Answer(place, answer) => {
                 let answer = self.protocol.encode_answer(place, answer);
-                self.complete(place, answer);
+                self.answers.complete(place, answer);
             }
         }
     }
-
-    /// Fills in an answer that was pending.
-    fn complete(&mut self, place: u64, answer: Vec<u8>) {
-        if let Some(owed) = self.answers.get_mut(place.wrapping_sub(self.first) as usize) {
-            *owed = Slot::Ready(answer);
-        }
-    }
 }
 
 /// Waits until a paused peer closes. No event reports a close behind unread bytes, so it is polled for.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 //! connect is decided by a function passed to [`accept::accept`].
 
 pub mod accept;
+mod answer_queue;
 pub mod cluster;
 pub mod command;
 pub mod downstream;
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -93,7 +93,7 @@
 pub fn resp_answer(answer: Answer) -> Vec<u8> {
     match answer {
         Answer::Value(value) => {
-            let mut out = Vec::with_capacity(value.len() + 16);
+            let mut out = Vec::new();
             resp::put_bulk(&mut out, &value);
             out
         }
--- a/src/owner/downstreams.rs
+++ b/src/owner/downstreams.rs
@@ -3,7 +3,7 @@
 //! [`Downstreams::remove`].
 
 use super::ports::Service;
-use crate::admission::{Activity, HeldMemory, HeldShare};
+use crate::admission::{Activity, HeldMemory, HeldShare, ReservationBudget};
 use crate::core::{DownstreamId, Input};
 use crate::net::accept::Socket;
 use crate::net::downstream::{ChangedDownstreams, Link, SharedActivity, TaskMessage, WaitingFor};
@@ -48,14 +48,16 @@
     open: HashMap<DownstreamId, Downstream>,
     moved: Rc<ChangedDownstreams>,
     held: Rc<HeldMemory>,
+    answers: Rc<ReservationBudget>,
     last_id: u64,
 }
 
 impl Downstreams {
-    /// `held` counts the memory held for all connections.
-    pub(super) fn new(queue: EventSender, held: Rc<HeldMemory>) -> Self {
+    /// `held` counts the memory held for all connections; `answers` bounds the answers that wait in all of
+    /// them.
+    pub(super) fn new(queue: EventSender, held: Rc<HeldMemory>, answers: Rc<ReservationBudget>) -> Self {
         let moved = Rc::new(ChangedDownstreams::new(queue));
-        Downstreams { open: HashMap::new(), moved, held, last_id: 0 }
+        Downstreams { open: HashMap::new(), moved, held, answers, last_id: 0 }
     }
 
     /// Adds a downstream; `serve` makes its task from its link.
@@ -80,6 +82,7 @@
             progress: progress.clone(),
             caller: new.caller,
             held: HeldShare::new(self.held.clone()),
+            answers: self.answers.clone(),
             input: Cell::default(),
             finishing: false,
         });
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -22,7 +22,7 @@
 mod upstreams;
 
 use crate::admission::drain::Drain;
-use crate::admission::{Admission, CloseReason, Counts, HeldMemory, Limits, MemoryAction};
+use crate::admission::{Admission, CloseReason, Counts, HeldMemory, Limits, MemoryAction, ReservationBudget};
 use crate::clock::Clock;
 use crate::codec::discovery::hash_id;
 use crate::config::Config;
@@ -36,7 +36,7 @@
 use crate::log::writer::Writer;
 use crate::net::accept::Socket;
 use crate::net::command::CommandParser;
-use crate::net::downstream::TaskMessage;
+use crate::net::downstream::{TaskMessage, MAX_ANSWER};
 use crate::net::memcached::stats::PublishedStats;
 use crate::net::{Caller, EventSender, NetEvent, PortIndex};
 use crate::settings::Site;
@@ -145,6 +145,7 @@
         let answers = executor.spawn(snmp.clone().answer(bound, move || clock.now()));
         (answers, executor.spawn(snmp.notify(move || clock.now())))
     });
+    let answers = ReservationBudget::new(door.waiting_answers_limit(limits.memory), MAX_ANSWER);
     let door = Admission::new(&door, limits);
     let held = Rc::new(HeldMemory::default());
     let mut event_loop = EventLoop {
@@ -162,7 +163,7 @@
         vocabulary: Rc::new(CommandParser { site: site.clone(), ready: false.into() }),
         ports,
         door,
-        downstreams: Downstreams::new(queue.clone(), held.clone()),
+        downstreams: Downstreams::new(queue.clone(), held.clone(), answers),
         upstreams: Upstreams::new(site.columns.clone(), held.clone()),
         discovery: Discovery::new(path, config.discovery),
         side,
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -5,7 +5,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future::yield_now;
-use martenweir::admission::{HeldShare, PortKind, WaitingFor};
+use martenweir::admission::{HeldShare, PortKind, ReservationBudget, WaitingFor};
 use martenweir::core::{DownstreamId, Input};
 use martenweir::net::accept::{accept, ConnectionLimiter, Socket};
 use martenweir::net::downstream::{serve, ChangedDownstreams, Link, SharedActivity, TaskMessage};
@@ -54,6 +54,7 @@
         progress,
         caller,
         held: HeldShare::new(Rc::default()),
+        answers: ReservationBudget::new(1 << 30, 1 << 16),
         input,
         finishing,
     };
--- a/tests/memcached.rs
+++ b/tests/memcached.rs
@@ -2,7 +2,7 @@
 //! connection.
 
 use async_executor::LocalExecutor;
-use martenweir::admission::{HeldShare, PortKind};
+use martenweir::admission::{HeldShare, PortKind, ReservationBudget};
 use martenweir::core::{Answer, DownstreamId, Input, NewStream};
 use martenweir::net::accept::Socket;
 use martenweir::net::command::CommandParser;
@@ -217,6 +217,7 @@
         )),
         caller: Caller { client, via: None },
         held: HeldShare::new(Rc::default()),
+        answers: ReservationBudget::new(1 << 30, 1 << 16),
         input: Cell::default(),
         finishing: false,
     };
