Reserve room for replies that are longer than most before they are read

What callers would see: a proxy killed for its memory while cache nodes send replies that never end. A connection to a node may hold what the codec takes, an array of eight values of 64 KiB, and nothing bounded the sum over up to 596 connections. Evidence: tests/memory.rs replies_that_never_end_stay_within_the_memory, 341 clients with a read each at 32 MB and 1,024 descriptors. The change: 4 KB of a reply may arrive at any time; for more, 68 KB at a time are reserved from an eighth of limits.memory_mb that all connections share (net/upstream.rs ReplyMemory). Without room a reply is not read on. The reservation goes through the event queue with the reply, until its downstream's task has run. Over 412 KB, more than 64 KiB take in chunks of one byte, a reply is malformed. Ruled out: a limit for each connection alone (341 of 68 KB are 23 MB of 32). Measured: both cases of the test pass.

--- a/src/admission/reservations.rs
+++ b/src/admission/reservations.rs
@@ -56,6 +56,17 @@
         Some(Reservation { budget: self.clone(), bytes })
     }
 
+    /// Reserves room for an item of the largest size, in turn with others that wait for it.
+    pub async fn wait_for_item(self: &Rc<Self>) -> Reservation {
+        let mut ticket = None;
+        loop {
+            if let Some(reservation) = self.reserve_item() {
+                return reservation;
+            }
+            ticket.get_or_insert_with(|| self.join_queue()).room().await;
+        }
+    }
+
     /// Joins the queue for room.
     pub fn join_queue(self: &Rc<Self>) -> QueueTicket {
         self.last_ticket.set(self.last_ticket.get() + 1);
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -2,6 +2,7 @@
 
 use super::accept::Socket;
 use super::framed::ConnectionEvent;
+use crate::admission::Reservation;
 use crate::codec::discovery::Cluster;
 use crate::core::{DownstreamId, Input};
 use dissemination::{ControlId, Message};
@@ -35,6 +36,8 @@
 #[derive(Debug)]
 pub enum NetEvent {
     Core(Input),
+    /// As `Core`, with the room that its bytes take until they have left the queue.
+    Reserved(Input, Reservation),
     Accepted(Socket, SocketAddr, PortIndex),
     /// The activity of some downstreams has changed.
     DownstreamsChanged,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,7 +37,16 @@
 /// Appends available bytes to `input`; returns 0 at the end of the stream. Yields after a full read, so that
 /// a peer that sends without pause doesn't starve other tasks.
 pub(crate) async fn read(socket: &Async<TcpStream>, input: &mut Vec<u8>) -> io::Result<usize> {
-    let n = read_without_yield(socket, input).await?;
+    read_at_most(socket, input, READ).await
+}
+
+/// As [`read`], but reads `limit` bytes at most.
+pub(crate) async fn read_at_most(
+    socket: &Async<TcpStream>,
+    input: &mut Vec<u8>,
+    limit: usize,
+) -> io::Result<usize> {
+    let n = read_scratch(socket, input, limit).await?;
     if n == READ {
         future::yield_now().await;
     }
@@ -46,10 +55,14 @@
 
 /// As [`read`], but the caller has to yield once [`READ`] bytes have arrived.
 pub(crate) async fn read_without_yield(socket: &Async<TcpStream>, input: &mut Vec<u8>) -> io::Result<usize> {
+    read_scratch(socket, input, READ).await
+}
+
+async fn read_scratch(socket: &Async<TcpStream>, input: &mut Vec<u8>, limit: usize) -> io::Result<usize> {
     socket
         .read_with(|mut s| {
             SCRATCH.with_borrow_mut(|scratch| {
-                let n = uninterrupted(|| s.read(scratch))?;
+                let n = uninterrupted(|| s.read(&mut scratch[..limit.min(READ)]))?;
                 input.extend_from_slice(&scratch[..n]);
                 Ok(n)
             })
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,8 +1,10 @@
 //! Connections to nodes, one upstream request at a time on each. The core manages the pool.
 
 use super::memcached::node as memcached;
-use super::{consume, origin, peek, read, send_event, write_all, EventSender, LogEntry};
-use crate::admission::{HeldBytes, HeldKind, HeldShare};
+use super::{
+    consume, origin, peek, read, read_at_most, send_event, write_all, EventSender, LogEntry, NetEvent,
+};
+use crate::admission::{HeldBytes, HeldKind, HeldShare, Reservation, ReservationBudget};
 use crate::codec::http::PeerState;
 use crate::codec::{self, resp, Malformed, Parsed};
 use crate::core::{ConnectionId, Input, Job, Reply, Stage, READ_RESULTS};
@@ -16,6 +18,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Bytes of a reply that may arrive without a reservation; most replies are shorter.
+const UNRESERVED_REPLY: usize = 4 * 1024;
+/// The bytes reserved at a time for the rest of a reply: a value of the largest size with what a protocol
+/// adds to it.
+pub const RESERVED_REPLY: usize = resp::MAX_VALUE + UNRESERVED_REPLY;
+/// The longest reply: in chunks of one byte each, a value takes six times its size.
+const MAX_REPLY: usize = UNRESERVED_REPLY + 6 * RESERVED_REPLY;
+
 /// How long to wait for a node to close after it has rejected the first job of a connection; the close
 /// follows right behind.
 const CLOSE_GRACE: Duration = Duration::from_millis(2);
@@ -176,7 +186,7 @@
     jobs: impl Into<JobQueue>,
     queue: EventSender,
     columns: Rc<Vec<String>>,
-    held: HeldShare,
+    memory: ReplyMemory,
 ) {
     let JobQueue { taken: jobs, written } = jobs.into();
     let socket = match Async::<TcpStream>::connect(address).await {
@@ -187,14 +197,21 @@
     send_event(&queue, Input::Connected(id)).await;
     let (number, input, output) = (0, Vec::new(), Vec::new());
     let mut connection =
-        Connection { socket, address, protocol, number, written, input, output, columns, held };
+        Connection { socket, address, protocol, number, written, input, output, columns, memory };
     loop {
         let job = match connection.next_job(&jobs).await {
             Some(job) => job,
             None => return send_event(&queue, Input::Broken(id, Stage::Idle)).await,
         };
         match connection.run_job(&job).await {
-            Ok(reply) => send_event(&queue, Input::Replied(id, reply)).await,
+            Ok(reply) => {
+                // The room for the reply goes with it.
+                let replied = Input::Replied(id, reply);
+                match connection.memory.reservation.take() {
+                    None => send_event(&queue, replied).await,
+                    Some(reservation) => send_event(&queue, NetEvent::Reserved(replied, reservation)).await,
+                }
+            }
             Err((stage, why)) => {
                 if let Some(Malformed(what)) = why {
                     let text = format!("node at {address}: malformed answer: {what}");
@@ -207,6 +224,45 @@
     }
 }
 
+/// The memory of the reply that is arriving on one connection.
+#[derive(Debug)]
+pub struct ReplyMemory {
+    /// What is held, as the log shows it.
+    held: HeldShare,
+    /// The room for replies, which all connections share.
+    budget: Rc<ReservationBudget>,
+    reservation: Option<Reservation>,
+    /// Bytes that the reply may have without another reservation.
+    allowed: usize,
+}
+
+impl ReplyMemory {
+    pub fn new(held: HeldShare, budget: Rc<ReservationBudget>) -> Self {
+        ReplyMemory { held, budget, reservation: None, allowed: UNRESERVED_REPLY }
+    }
+
+    /// Waits for room for more of a reply.
+    async fn reserve(&mut self) {
+        let more = self.budget.wait_for_item().await;
+        self.allowed += RESERVED_REPLY;
+        match &mut self.reservation {
+            Some(reservation) => reservation.absorb(more),
+            None => self.reservation = Some(more),
+        }
+    }
+
+    /// Another reply is to arrive.
+    fn restart(&mut self) {
+        self.reservation = None;
+        self.allowed = UNRESERVED_REPLY;
+    }
+
+    /// Reports the bytes that have arrived.
+    fn arrived(&mut self, bytes: usize) {
+        self.held.set(HeldBytes::default().with(HeldKind::Replies, bytes));
+    }
+}
+
 struct Connection {
     socket: Async<TcpStream>,
     address: SocketAddr,
@@ -219,7 +275,7 @@
     /// The encoded job.
     output: Vec<u8>,
     columns: Rc<Vec<String>>,
-    held: HeldShare,
+    memory: ReplyMemory,
 }
 
 impl Connection {
@@ -282,8 +338,16 @@
         self.written.set(true);
         let written = self.output.len();
         consume(&mut self.output, written);
+        self.memory.restart();
         loop {
-            let rest = match read(&self.socket, &mut self.input).await {
+            if self.input.len() >= MAX_REPLY {
+                return Err((Stage::Reading, Some(Malformed("an oversized reply"))));
+            }
+            if self.input.len() >= self.memory.allowed {
+                self.memory.reserve().await;
+            }
+            let allowed = self.memory.allowed - self.input.len();
+            let rest = match read_at_most(&self.socket, &mut self.input, allowed).await {
                 Ok(1..) => PeerState::Open,
                 Ok(0) => PeerState::Closed,
                 Err(_) => return Err((Stage::Reading, None)),
@@ -293,7 +357,7 @@
             if let Some((_, taken)) = parsed {
                 consume(&mut self.input, taken);
             }
-            self.held.set(HeldBytes::default().with(HeldKind::Replies, self.input.len()));
+            self.memory.arrived(self.input.len());
             if let Some((mut reply, _)) = parsed {
                 if self.number == 1 && reply.verdict == Verdict::Full {
                     reply.no_place = self.closes_soon().await;
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -22,7 +22,9 @@
 mod upstreams;
 
 use crate::admission::drain::Drain;
-use crate::admission::{Admission, CloseReason, Counts, HeldMemory, Limits, MemoryAction, ReservationBudget};
+use crate::admission::{
+    Admission, CloseReason, Counts, HeldMemory, Limits, MemoryAction, Reservation, ReservationBudget,
+};
 use crate::clock::Clock;
 use crate::codec::discovery::hash_id;
 use crate::config::Config;
@@ -38,6 +40,7 @@
 use crate::net::command::CommandParser;
 use crate::net::downstream::{TaskMessage, MAX_ANSWER};
 use crate::net::memcached::stats::PublishedStats;
+use crate::net::upstream::RESERVED_REPLY;
 use crate::net::{Caller, EventSender, NetEvent, PortIndex};
 use crate::settings::Site;
 use crate::signals::{SignalRequest, Signals};
@@ -67,12 +70,16 @@
 const SHUTDOWN_CHECK_INTERVAL: Micros = 20_000;
 /// With a known list, the proxy reports ready this long after the start even if discovery has not answered.
 const READY_AFTER: Micros = 1_000_000;
+/// The share of the memory limit that replies may take while they arrive from nodes.
+const ARRIVING_REPLIES_DIVISOR: usize = 8;
 
 struct EventLoop {
     clock: Clock,
     core: Core,
     /// Reused buffer for the core's effects; empty between uses.
     effects: Vec<Effect>,
+    /// The room of replies that were passed on to the tasks of their downstreams, until these have run.
+    passed_on: Vec<Reservation>,
     executor: Rc<LocalExecutor<'static>>,
     queue: EventSender,
     site: Rc<Site>,
@@ -146,6 +153,10 @@
         (answers, executor.spawn(snmp.notify(move || clock.now())))
     });
     let answers = ReservationBudget::new(door.waiting_answers_limit(limits.memory), MAX_ANSWER);
+    let replies = ReservationBudget::new(
+        (limits.memory / ARRIVING_REPLIES_DIVISOR).max(RESERVED_REPLY),
+        RESERVED_REPLY,
+    );
     let door = Admission::new(&door, limits);
     let held = Rc::new(HeldMemory::default());
     let mut event_loop = EventLoop {
@@ -158,13 +169,14 @@
             config.known,
         ),
         effects: Vec::new(),
+        passed_on: Vec::new(),
         executor: executor.clone(),
         queue: queue.clone(),
         vocabulary: Rc::new(CommandParser { site: site.clone(), ready: false.into() }),
         ports,
         door,
         downstreams: Downstreams::new(queue.clone(), held.clone(), answers),
-        upstreams: Upstreams::new(site.columns.clone(), held.clone()),
+        upstreams: Upstreams::new(site.columns.clone(), held.clone(), replies),
         discovery: Discovery::new(path, config.discovery),
         side,
         planners,
@@ -230,6 +242,7 @@
             self.ports.allow(&self.door);
             if !news.is_empty() {
                 future::yield_now().await;
+                self.passed_on.clear();
                 continue;
             }
             let wake_at =
@@ -243,6 +256,7 @@
                 None
             };
             let event = future::or(async { news.recv().await.ok() }, tick).await;
+            self.passed_on.clear();
             if let Some(event) = event {
                 self.handle(self.clock.now(), event);
                 self.apply_effects();
@@ -274,6 +288,10 @@
                     self.core.input(now, input);
                 }
             }
+            NetEvent::Reserved(input, reservation) => {
+                self.passed_on.push(reservation);
+                self.core.input(now, input);
+            }
             NetEvent::Accepted(socket, peer, port) => {
                 self.accepted(now, socket, Caller { client: peer, via: None }, port)
             }
--- a/src/owner/upstreams.rs
+++ b/src/owner/upstreams.rs
@@ -1,9 +1,9 @@
 //! Connections to nodes and the origin, one task each. When to dial, what to send and when to close is
 //! decided by the core.
 
-use crate::admission::{HeldMemory, HeldShare};
+use crate::admission::{HeldMemory, HeldShare, ReservationBudget};
 use crate::core::{ConnectionId, Job, Stage};
-use crate::net::upstream::{run_connection, JobQueue, UpstreamProtocol};
+use crate::net::upstream::{run_connection, JobQueue, ReplyMemory, UpstreamProtocol};
 use crate::net::EventSender;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
@@ -22,12 +22,14 @@
     /// The column names in load reports.
     columns: Rc<Vec<String>>,
     held: Rc<HeldMemory>,
+    /// The room for replies that are arriving.
+    replies: Rc<ReservationBudget>,
 }
 
 impl Upstreams {
-    /// `held` counts the memory held for all connections.
-    pub(super) fn new(columns: Vec<String>, held: Rc<HeldMemory>) -> Self {
-        Upstreams { open: HashMap::new(), columns: Rc::new(columns), held }
+    /// `held` counts the memory held for all connections; `replies` bounds the replies that arrive on them.
+    pub(super) fn new(columns: Vec<String>, held: Rc<HeldMemory>, replies: Rc<ReservationBudget>) -> Self {
+        Upstreams { open: HashMap::new(), columns: Rc::new(columns), held, replies }
     }
 
     pub(super) fn dial(
@@ -41,9 +43,10 @@
         // One request at a time: a second job is never queued.
         let (jobs, receiver) = async_channel::bounded(1);
         let given = JobQueue::from(receiver);
-        let (columns, held) = (self.columns.clone(), HeldShare::new(self.held.clone()));
+        let memory = ReplyMemory::new(HeldShare::new(self.held.clone()), self.replies.clone());
+        let columns = self.columns.clone();
         let connection_task =
-            run_connection(id, address, dialect, given.clone(), queue.clone(), columns, held);
+            run_connection(id, address, dialect, given.clone(), queue.clone(), columns, memory);
         let task = executor.spawn(connection_task);
         self.open.insert(id, Upstream { jobs, given, _task: task });
     }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -54,15 +54,31 @@
     format!("*{}\r\n{words}", words.matches('$').count()).into_bytes()
 }
 
-/// A cache node that answers each read at once with a value of the largest size, of which it sends `sent`
-/// bytes and, unless that is all, nothing more.
-fn cache_node(sent: usize) -> impl Fn() -> SocketAddr {
+/// What a cache node sends for a read.
+#[derive(Clone, Copy, Debug)]
+enum Reply {
+    Value,
+    /// An array of this many values, all but the end of the last one.
+    Unfinished(usize),
+}
+
+impl Reply {
+    fn encode(self) -> Vec<u8> {
+        let value = format!("${VALUE}\r\n{}\r\n", "v".repeat(VALUE));
+        let text = match self {
+            Reply::Value => format!("*3\r\n{value}$3\r\nhit\r\n$-1\r\n"),
+            Reply::Unfinished(values) => format!("*8\r\n{}", value.repeat(values)),
+        };
+        let unfinished = matches!(self, Reply::Unfinished(_));
+        let end = text.len() - if unfinished { 1024 } else { 0 };
+        text.into_bytes()[..end].to_vec()
+    }
+}
+
+/// A cache node that sends this for each read.
+fn cache_node(reply: Reply) -> impl Fn() -> SocketAddr {
     move || {
-        let mut answer = format!("*3\r\n${VALUE}\r\n").into_bytes();
-        answer.extend(vec![b'v'; sent]);
-        if sent == VALUE {
-            answer.extend(b"\r\n$3\r\nhit\r\n$-1\r\n");
-        }
+        let answer = reply.encode();
         serve(move |mut socket| {
             let mut from = BufReader::new(socket.try_clone()?);
             loop {
@@ -204,6 +220,15 @@
     Ok(values)
 }
 
+/// Sends one read and reads its answer.
+fn single_read(address: SocketAddr, client: usize) -> io::Result<String> {
+    let mut socket = TcpStream::connect(address)?;
+    socket.set_read_timeout(Some(TIMEOUT))?;
+    let (key, id) = (format!("{:x}", client + 1), format!("single-{client}"));
+    socket.write_all(&command(&["CACHE.GET", &key, &id, "c=lookup,t=nordurbanki,d=2000"]))?;
+    line(&mut BufReader::new(socket))
+}
+
 /// Plays `clients` threads, started one after the other, and returns what each came to and the most memory
 /// that the program used, in bytes.
 fn play<T: Send + 'static>(
@@ -231,7 +256,7 @@
 #[case::many_descriptors(32, 1024)]
 #[case::more_memory(48, 256)]
 fn answers_that_wait_for_a_slow_write_stay_within_the_memory(#[case] memory_mb: u64, #[case] sockets: u64) {
-    let node = cache_node(VALUE);
+    let node = cache_node(Reply::Value);
     let program = Program::start(memory_mb, sockets, cluster(node, slow_origin(Duration::from_millis(900))));
     // 15 values of 64 KiB for each of them: twice the memory.
     let clients = memory_mb as usize * 2;
@@ -246,7 +271,7 @@
 /// to end.
 #[test]
 fn commands_without_room_are_answered_at_a_planned_end() {
-    let node = cache_node(VALUE);
+    let node = cache_node(Reply::Value);
     let program = Program::start(32, 256, cluster(node, slow_origin(Duration::from_millis(900))));
     let id = program.child.id().to_string();
     let told = thread::spawn(move || {
@@ -259,3 +284,20 @@
         assert!(answers.is_ok(), "client {client}: {answers:?}");
     }
 }
+
+/// Guards against a kill for memory: cache nodes send replies that never end, and nothing but the number of
+/// connections bounded the sum of what had arrived.
+#[rstest]
+#[case::one_value(1)]
+#[case::many_values(8)]
+fn replies_that_never_end_stay_within_the_memory(#[case] values: usize) {
+    let memory_mb = 32;
+    let node = cache_node(Reply::Unfinished(values));
+    let program = Program::start(memory_mb, 1024, cluster(node, slow_origin(Duration::from_millis(900))));
+    // Clients hold a third of the descriptors at the most.
+    let (answers, peak) = play(&program, 1024 / 3, Duration::from_millis(3), single_read);
+    assert!(peak < memory_mb << 20, "{} KB of {memory_mb} MB", peak >> 10);
+    for (client, answer) in answers.iter().enumerate() {
+        assert!(answer.is_ok(), "client {client}: {answer:?}");
+    }
+}
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -2,11 +2,11 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use martenweir::admission::HeldShare;
+use martenweir::admission::{HeldShare, ReservationBudget};
 use martenweir::codec::http::{self, PeerState};
 use martenweir::core::{ConnectionId, Input, Job, Message, Stage};
 use martenweir::interface::Verdict;
-use martenweir::net::upstream::{run_connection, UpstreamProtocol};
+use martenweir::net::upstream::{run_connection, ReplyMemory, UpstreamProtocol, RESERVED_REPLY};
 use martenweir::net::NetEvent;
 use rstest::rstest;
 use std::future::Future;
@@ -26,15 +26,25 @@
 fn with_connection_as<F: Future>(
     dialect: UpstreamProtocol,
     script: impl FnOnce(TcpListener, Sender<Job>, Receiver<NetEvent>) -> F,
+) -> F::Output {
+    with_connection_within(ReservationBudget::new(1 << 30, 1 << 16), dialect, script)
+}
+
+/// The same with a budget for replies.
+fn with_connection_within<F: Future>(
+    budget: Rc<ReservationBudget>,
+    dialect: UpstreamProtocol,
+    script: impl FnOnce(TcpListener, Sender<Job>, Receiver<NetEvent>) -> F,
 ) -> F::Output {
     let node = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = node.local_addr().expect("an address");
     let (event_sender, news) = async_channel::bounded(4);
     let (send_job, jobs) = async_channel::bounded(1);
     let executor = LocalExecutor::new();
-    let (columns, held) = (Rc::new(Vec::new()), HeldShare::new(Rc::default()));
+    let memory = ReplyMemory::new(HeldShare::new(Rc::default()), budget);
+    let columns = Rc::new(Vec::new());
     let connection_task =
-        run_connection(ConnectionId(1), address, dialect, jobs, event_sender, columns, held);
+        run_connection(ConnectionId(1), address, dialect, jobs, event_sender, columns, memory);
     let _task = executor.spawn(connection_task);
     async_io::block_on(executor.run(async {
         assert!(matches!(news.recv().await, Ok(NetEvent::Core(Input::Connected(_)))));
@@ -195,6 +205,51 @@
     }
 }
 
+/// Guards the bound on replies that are arriving: what is longer than most waits for room, is read on once there
+/// is some, and gives it back when its event is dropped. A reply that is longer than any value is malformed.
+#[rstest]
+#[case::one_value(1, true)]
+#[case::many_values(8, false)]
+fn a_long_reply_is_read_once_there_is_room_for_it(#[case] values: usize, #[case] valid: bool) {
+    let budget = ReservationBudget::new(8 * RESERVED_REPLY, RESERVED_REPLY);
+    let taken = budget.reserve(8 * RESERVED_REPLY).expect("it is empty");
+    let value = format!("${}\r\n{}\r\n", 64 * 1024, "v".repeat(64 * 1024));
+    let reply = match values {
+        1 => format!("*3\r\n{value}$3\r\nhit\r\n$-1\r\n"),
+        _ => format!("*{values}\r\n{}", value.repeat(values)),
+    };
+    let event =
+        with_connection_within(budget.clone(), UpstreamProtocol::Cache, |node, send_job, news| async move {
+            let (mut socket, _) = node.accept().expect("a connection");
+            let job = Job::Stream { message: Rc::new(Message::default()), patience: 1_000_000 };
+            send_job.try_send(job).expect("room for a job");
+            socket.set_nonblocking(true).expect("a socket");
+            while socket.read(&mut [0; 1024]).is_err() {
+                futures_lite::future::yield_now().await;
+            }
+            socket.set_nonblocking(false).expect("a socket");
+            let sends = std::thread::spawn(move || socket.write_all(reply.as_bytes()).map(|()| socket));
+            for _ in 0..1_000 {
+                futures_lite::future::yield_now().await;
+            }
+            assert!(news.is_empty(), "it has not waited");
+            drop(taken);
+            let event = news.recv().await;
+            drop(sends);
+            event
+        });
+    match (event, valid) {
+        (Ok(NetEvent::Reserved(Input::Replied(_, reply), room)), true) => {
+            assert_eq!((reply.verdict, reply.value.len()), (Verdict::Served, 64 * 1024));
+            assert_eq!(budget.reserved(), RESERVED_REPLY);
+            drop(room);
+        }
+        (Ok(NetEvent::Log(_)), false) => {}
+        (event, _) => panic!("{event:?}"),
+    }
+    assert_eq!(budget.reserved(), 0);
+}
+
 /// A body without a length that never ends must not exhaust the proxy's memory.
 #[test]
 fn a_body_without_a_length_is_bounded() {
