Show that memcached requests which come in two pieces get no answer

The memcached port takes a frame that has arrived in part for one that lacks 16 KiB more, so a request that comes in two pieces is never parsed, and its connection is closed after 2 s.

--- /dev/null
+++ b/review/standin-2/src/case.rs
@@ -0,0 +1,117 @@
+//! What the cases share: the small deployment that each starts, and its verdict.
+
+use crate::clients::*;
+use crate::world::*;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a script ends.
+pub const BROKEN: i32 = 1;
+pub const HELD: i32 = 0;
+pub const COULD_NOT_RUN: i32 = 2;
+
+/// No case may run longer.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
+
+/// A case while it runs.
+pub struct Case {
+    /// The folder for `record.txt`.
+    pub folder: PathBuf,
+    /// A temporary folder of its own.
+    pub temporary: PathBuf,
+    /// Whether the disruption takes place.
+    pub trouble: bool,
+    pub journal: Arc<Journal>,
+    pub arrivals: Arc<Arrivals>,
+    pub ledger: Arc<Ledger>,
+    broken: Vec<String>,
+}
+
+impl Case {
+    pub fn new(folder: PathBuf) -> Case {
+        let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&temporary).expect("a temporary folder");
+        let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+        let case = Case {
+            folder,
+            temporary,
+            trouble,
+            journal: Journal::new(),
+            arrivals: Arc::default(),
+            ledger: Arc::default(),
+            broken: Vec::new(),
+        };
+        case.journal.note(format!("trouble: {trouble}"));
+        case
+    }
+
+    /// Starts `nodes` cache nodes and an origin, each with the behaviour that `of` returns for its name, and
+    /// returns their entries for discovery.
+    pub fn start_servers(
+        &self,
+        nodes: usize,
+        value_bytes: usize,
+        of: impl Fn(&str) -> Behaviour,
+    ) -> (Vec<Arc<Server>>, Vec<Entry>) {
+        let names = (1..=nodes).map(|n| (format!("s-{n}"), false)).chain([("origin".to_owned(), true)]);
+        names
+            .enumerate()
+            .map(|(n, (name, origin))| {
+                let behaviour = of(&name);
+                let server =
+                    Server::start(&name, origin, value_bytes, &self.journal, &self.arrivals, behaviour);
+                let kind = if origin { "origin" } else { "full-node" };
+                let entry = Entry {
+                    id: name,
+                    address: server.address,
+                    zone: ["hofdi", "grafarholt"][n % 2].to_owned(),
+                    kind: kind.to_owned(),
+                    cell: n as u32,
+                    phase: "SERVING",
+                    up_since_ms: 0,
+                };
+                (server, entry)
+            })
+            .unzip()
+    }
+
+    /// Writes down that the rule was broken.
+    pub fn broken(&mut self, what: impl Into<String>) {
+        let what = what.into();
+        self.journal.note(format!("BROKEN {what}"));
+        self.broken.push(what);
+    }
+
+    /// Ends the proxies, writes the record and exits with the verdict.
+    pub fn end(self, proxies: Vec<Proxy>) -> ! {
+        drop(proxies);
+        let _ = std::fs::remove_dir_all(&self.temporary);
+        let verdict = if self.broken.is_empty() { HELD } else { BROKEN };
+        self.journal.note(format!("{} breaks of the rule", self.broken.len()));
+        if std::fs::write(self.folder.join("record.txt"), self.journal.text()).is_err() {
+            std::process::exit(COULD_NOT_RUN);
+        }
+        for what in self.broken.iter().take(5) {
+            println!("broken: {what}");
+        }
+        println!("{} breaks of the rule; see record.txt", self.broken.len());
+        std::process::exit(verdict);
+    }
+
+    /// Ends with the verdict that the case could not run.
+    pub fn could_not_run(&self, why: &str) -> ! {
+        println!("the case could not run: {why}");
+        std::process::exit(COULD_NOT_RUN);
+    }
+}
+
+/// Ends the program, and the processes that it started, once its time is over.
+pub fn limit_time() {
+    std::thread::spawn(|| {
+        std::thread::sleep(TIME_LIMIT);
+        end_processes();
+        println!("the case could not run: it took too long");
+        std::process::exit(COULD_NOT_RUN);
+    });
+}
