Show that usual clients starve in the backlog behind clients that stall

While all slots are taken, a client that stalls in the middle of a command keeps its slot for 250 ms and newcomers wait in the backlog, so that 1,100 such clients keep the new connections of usual clients waiting for longer than a read's time and half a second.

The former cases 6 and 7 are 7 and 8 now, as the new one is graver. What no case uses has left the stand-ins.

--- a/review/standin-2/src/case.rs
+++ b/review/standin-2/src/case.rs
@@ -1,6 +1,5 @@
 //! What the cases share: the small deployment that each starts, and its verdict.
 
-use crate::clients::*;
 use crate::world::*;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -23,8 +22,6 @@
     /// Whether the disruption takes place.
     pub trouble: bool,
     pub journal: Arc<Journal>,
-    pub arrivals: Arc<Arrivals>,
-    pub ledger: Arc<Ledger>,
     broken: Vec<String>,
 }
 
@@ -33,47 +30,33 @@
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).expect("a temporary folder");
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        let case = Case {
-            folder,
-            temporary,
-            trouble,
-            journal: Journal::new(),
-            arrivals: Arc::default(),
-            ledger: Arc::default(),
-            broken: Vec::new(),
-        };
+        let case = Case { folder, temporary, trouble, journal: Journal::new(), broken: Vec::new() };
         case.journal.note(format!("trouble: {trouble}"));
         case
     }
 
-    /// Starts `nodes` cache nodes and an origin, each with the behaviour that `of` returns for its name, and
-    /// returns their entries for discovery.
-    pub fn start_servers(
-        &self,
-        nodes: usize,
-        value_bytes: usize,
-        of: impl Fn(&str) -> Behaviour,
-    ) -> (Vec<Arc<Server>>, Vec<Entry>) {
-        let names = (1..=nodes).map(|n| (format!("s-{n}"), false)).chain([("origin".to_owned(), true)]);
-        names
-            .enumerate()
-            .map(|(n, (name, origin))| {
-                let behaviour = of(&name);
-                let server =
-                    Server::start(&name, origin, value_bytes, &self.journal, &self.arrivals, behaviour);
-                let kind = if origin { "origin" } else { "full-node" };
-                let entry = Entry {
-                    id: name,
-                    address: server.address,
-                    zone: ["hofdi", "grafarholt"][n % 2].to_owned(),
-                    kind: kind.to_owned(),
-                    cell: n as u32,
-                    phase: "SERVING",
-                    up_since_ms: 0,
-                };
-                (server, entry)
-            })
-            .unzip()
+    /// Starts four cache nodes, an origin and discovery, which lists them. A command takes `work`.
+    pub fn start_platform(&self, work: Duration) -> Discovery {
+        const VALUE_BYTES: usize = 100;
+        let start = |n: usize| {
+            let (name, origin) = (format!("s-{n}"), n == 5);
+            let server = Server {
+                name: name.clone(),
+                origin,
+                value_bytes: VALUE_BYTES,
+                work,
+                journal: self.journal.clone(),
+            };
+            Entry {
+                id: name,
+                address: server.start(),
+                zone: ["hofdi", "grafarholt"][n % 2],
+                kind: if origin { "origin" } else { "full-node" },
+                cell: n,
+            }
+        };
+        let entries: Vec<Entry> = (1..=5).map(start).collect();
+        Discovery::start(&entries, &self.journal)
     }
 
     /// Writes down that the rule was broken.
--- a/review/standin-2/src/case_6.rs
+++ b/review/standin-2/src/case_6.rs
@@ -1,158 +1,159 @@
-//! Gateways that speak the memcached binary protocol; their messages come in two pieces. Every request has to
-//! get its final answer.
+//! Clients that stop in the middle of a command and stay, by the hundred, beside a few usual ones. Every request of
+//! the usual clients has to get its final answer.
 
 use crate::case::Case;
 use crate::clients::*;
-use crate::memcached;
 use crate::wire::*;
 use crate::world::*;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-const GATEWAYS: u32 = 12;
-const ROUNDS: u32 = 4;
-/// The time between the two pieces of a message.
-const PAUSE: Duration = Duration::from_millis(20);
+/// The limits of the proxy, within those of the pages.
+const DESCRIPTORS: u32 = 256;
+const MEMORY_MB: u32 = 64;
+const USUAL_CLIENTS: u64 = 10;
+/// The pause of a usual client behind an answer.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Half of the class's give-up time.
+const PATIENCE_MS: u64 = 1000;
+/// How much later than its time a request may be answered, and by how much limits are longer on sockets.
+const BEYOND_TIME: Duration = Duration::from_millis(500 + 50);
+/// A connection that ends this soon after a request was written may have been closed between requests.
+const CROSSING: Duration = Duration::from_millis(500);
+/// The clients that stop, in several processes: each may hold few descriptors.
+const STOPPING_PROCESSES: usize = 4;
+const STOPPING_PER_PROCESS: usize = 275;
+const CALM: Duration = Duration::from_secs(3);
+const TROUBLE: Duration = Duration::from_secs(12);
+/// For how long a client that has stopped waits for its error or close.
+const OWED: Duration = Duration::from_secs(8);
 /// How long a node takes for a request.
 const WORK: Duration = Duration::from_millis(20);
-/// The give-up time of the classes, which is longer than any wait of the port, and what an answer may be late.
-const GIVE_UP: Duration = Duration::from_millis(2500);
-const BEYOND_TIME: Duration = Duration::from_millis(500);
+const SMALL_STACK: usize = 128 * 1024;
 
-struct Gateway {
-    reader: Reader,
-    journal: std::sync::Arc<Journal>,
-    broken: Sender<String>,
-    name: String,
-    pieces: bool,
-}
-
-impl Gateway {
-    /// Sends a message, in two pieces if the case is to; the second begins behind the first `first` bytes.
-    fn send(&mut self, what: &str, message: &[u8], first: usize) {
-        let first = if self.pieces { first.clamp(1, message.len() - 1) } else { message.len() };
-        let stream = &mut self.reader.stream;
-        let mut written = stream.write_all(&message[..first]);
-        if first < message.len() {
-            thread::sleep(PAUSE);
-            written = written.and_then(|()| stream.write_all(&message[first..]));
-        }
-        self.journal.note(format!(
-            "{} sent {what}, {} bytes, the first {first} ahead: {written:?}",
-            self.name,
-            message.len()
-        ));
-    }
-
-    /// Waits for a response; says so if none comes in time. Returns whether the connection can go on.
-    fn expect(&mut self, what: &str) -> bool {
-        let _ = self.reader.stream.set_read_timeout(Some(GIVE_UP + BEYOND_TIME));
-        let sent = self.journal.now();
-        match memcached::response(&mut self.reader) {
-            Ok(response) => {
-                self.journal.note(format!(
-                    "{} got status {:#04x} for {what} number {}, {} bytes",
-                    self.name,
-                    response.status,
-                    response.opaque,
-                    response.body.len()
-                ));
-                true
-            }
-            Err(why) => {
-                let waited = self.journal.now() - sent;
-                let _ =
-                    self.broken.send(format!("{}: {what} has no answer, {why} after {waited:?}", self.name));
-                false
+/// The clients that stop, until the process is ended: `standin stopping ADDRESS`.
+pub fn stopping(address: SocketAddr) -> ! {
+    let part = b"*4\r\n$9\r\nCACHE.GET\r\n$16\r\n9b1f03aa";
+    for _ in 0..STOPPING_PER_PROCESS {
+        let client = move || loop {
+            if let Ok(mut stream) = TcpStream::connect(address) {
+                let _ = stream.set_read_timeout(Some(OWED));
+                let _ = stream.write_all(part);
+                let mut rest = [0; 512];
+                while matches!(stream.read(&mut rest), Ok(1..)) {}
             }
+            thread::sleep(Duration::from_millis(5));
+        };
+        if thread::Builder::new().stack_size(SMALL_STACK).spawn(client).is_err() {
+            std::process::exit(crate::case::COULD_NOT_RUN);
         }
     }
-}
-
-/// One gateway: reads, writes and quiet reads with a NOOP behind them.
-fn gateway(number: u32, address: SocketAddr, case: &Case, broken: Sender<String>) -> impl FnOnce() + use<> {
-    let (journal, pieces) = (case.journal.clone(), case.trouble);
-    move || {
-        for round in 0..ROUNDS {
-            let Ok(stream) = TcpStream::connect(address) else { continue };
-            let _ = stream.set_nodelay(true);
-            let name = format!("gateway {number} round {round}");
-            let reader = Reader::new(stream);
-            let mut gateway =
-                Gateway { reader, journal: journal.clone(), broken: broken.clone(), name, pieces };
-            let key = format!("account-{number}-{round}");
-            // The cut is in the header, behind it, or in the body.
-            let cut = [10, 24, 30, 33][round as usize % 4];
-            let get = memcached::request(memcached::GET, 1, key.as_bytes(), b"", 0);
-            gateway.send("GET", &get, cut);
-            if !gateway.expect("GET") {
-                continue;
-            }
-            let cas = u64::from(number) << 32 | u64::from(round) + 1;
-            let set = memcached::request(memcached::SET, 2, key.as_bytes(), &[b'x'; 200], cas);
-            gateway.send("SET", &set, cut + 40);
-            if !gateway.expect("SET") {
-                continue;
-            }
-            let mut quiet: Vec<u8> = Vec::new();
-            for n in 0..4 {
-                quiet.extend(memcached::request(memcached::GETKQ, 10 + n, key.as_bytes(), b"", 0));
-            }
-            quiet.extend(memcached::request(memcached::NOOP, 20, b"", b"", 0));
-            gateway.send("four GETKQ and a NOOP", &quiet, quiet.len() - 7);
-            let _ = (0..5).all(|_| gateway.expect("GETKQ or NOOP"));
-        }
+    loop {
+        thread::sleep(TROUBLE);
     }
 }
 
-/// Clients of the main port whose messages come in the same pieces.
-fn resp_client(
+struct Usual {
     number: u64,
     address: SocketAddr,
-    case: &Case,
+    journal: Arc<Journal>,
+    over: Arc<AtomicBool>,
     broken: Sender<String>,
-) -> impl FnOnce() + use<> {
-    let (journal, ledger, pieces) = (case.journal.clone(), case.ledger.clone(), case.trouble);
-    move || {
-        for round in 0..u64::from(ROUNDS) {
-            let Ok(mut client) = Client::connect(address, &journal, &ledger) else { continue };
-            let asked = request(number * 100 + round, "lookup", false, 1500, 0);
-            let cut = if pieces { 10 } else { asked.bytes.len() };
-            let _ = client.reader.stream.write_all(&asked.bytes[..cut]);
+}
+
+impl Usual {
+    /// Sends one request after the other.
+    fn run(self) {
+        let (mut open, mut n) = (None, 0);
+        while !self.over.load(Ordering::Relaxed) {
+            n += 1;
+            let asked = read(self.number * 10_000 + n, PATIENCE_MS);
+            let was_open = open.is_some();
+            if !self.ask(&mut open, &asked, 1) && was_open {
+                // The close may have crossed the request, which is sent once more on a new connection.
+                self.ask(&mut open, &asked, 2);
+            }
             thread::sleep(PAUSE);
-            let _ = client.reader.stream.write_all(&asked.bytes[cut..]);
-            let _ = client.reader.stream.set_read_timeout(Some(asked.patience + BEYOND_TIME));
-            let answer = client.reader.answer();
-            journal.note(format!("client {number} got id={} {answer:?}", asked.id));
-            if let Err(why) = answer {
-                let _ = broken.send(format!("client {number}: id={} has no answer, {why}", asked.id));
+        }
+    }
+
+    /// Sends a request and waits for its answer; returns whether it is done with.
+    fn ask(&self, open: &mut Option<Reader>, asked: &Request, time: u32) -> bool {
+        let Some(mut reader) = open.take().or_else(|| TcpStream::connect(self.address).ok().map(Reader::new))
+        else {
+            return false;
+        };
+        let limit = asked.patience + BEYOND_TIME;
+        let _ = reader.stream.set_nodelay(true);
+        let _ = reader.stream.set_read_timeout(Some(limit));
+        let written = reader.stream.write_all(&asked.bytes);
+        let sent = Instant::now();
+        let answer = written.and_then(|()| reader.answer());
+        let took = sent.elapsed();
+        let name = format!("usual client {} id={} sent {time} times", self.number, asked.id);
+        self.journal.note(format!(
+            "{name}: {} after {took:?}",
+            answer.as_ref().map_or_else(ToString::to_string, short)
+        ));
+        match answer {
+            Ok(_) if took <= limit => {
+                *open = Some(reader);
+                return true;
             }
+            Ok(_) => drop(self.broken.send(format!("{name}: answered after {took:?}"))),
+            Err(why) if matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                let _ = self.broken.send(format!("{name}: no answer and no close within {took:?}"));
+            }
+            Err(_) if took < CROSSING => return false,
+            Err(why) => drop(self.broken.send(format!("{name}: closed after {took:?}, {why}"))),
         }
+        true
     }
 }
 
 pub fn run(mut case: Case) -> ! {
-    let (_servers, entries) =
-        case.start_servers(4, 100, |_| std::sync::Arc::new(|_: &Arrived| Act::Serve(WORK)));
-    let discovery = Discovery::start("discovery", entries, &case.journal);
-    let port = free_port().port();
-    let features = format!("memcacheport {port}\nmemcachetenant nordurbanki");
-    let proxy = Proxy::start_with(&case.temporary, &Site::default(), &discovery, &case.journal, &features);
+    let discovery = case.start_platform(WORK);
+    let limits = Limits { memory_mb: MEMORY_MB, descriptors: DESCRIPTORS };
+    let mut proxy = Proxy::start(&case.temporary, limits, &discovery, &case.journal, "");
     if !proxy.wait_ready() {
         case.could_not_run("the proxy is not ready");
     }
     let (broken, told) = channel();
-    let gateways = SocketAddr::new(proxy.address.ip(), port);
-    let mut threads = Vec::new();
-    for n in 0..GATEWAYS {
-        threads.push(thread::spawn(gateway(n, gateways, &case, broken.clone())));
-        threads.push(thread::spawn(resp_client(u64::from(n), proxy.address, &case, broken.clone())));
+    let over = Arc::new(AtomicBool::new(false));
+    let threads: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|number| {
+            let (address, journal, over) = (proxy.address, case.journal.clone(), over.clone());
+            let usual = Usual { number, address, journal, over, broken: broken.clone() };
+            thread::spawn(move || usual.run())
+        })
+        .collect();
+    thread::sleep(CALM);
+    let mut crowd = Vec::new();
+    if case.trouble {
+        let count = STOPPING_PROCESSES * STOPPING_PER_PROCESS;
+        case.journal.note(format!("{count} clients come and stop in the middle of a command"));
+        for _ in 0..STOPPING_PROCESSES {
+            crowd.push(Helper::start(&["stopping", &proxy.address.to_string()]));
+        }
     }
+    thread::sleep(TROUBLE);
+    over.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| drop(thread.join()));
+    drop(crowd);
     drop(broken);
+    case.journal.note(format!(
+        "the proxy has used {:.1} s of the processor, and at most {} KiB",
+        proxy.processor_seconds(),
+        proxy.peak_memory()
+    ));
+    if let Some(why) = proxy.ended() {
+        case.broken(format!("the proxy has ended: {why}"));
+    }
     told.iter().for_each(|what| case.broken(what));
     case.end(vec![proxy])
 }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod case;
 mod case_6;
 mod case_7;
+mod case_8;
 mod clients;
 mod memcached;
 mod wire;
@@ -17,6 +18,10 @@
         println!("usage: standin CASE FOLDER");
         std::process::exit(case::COULD_NOT_RUN);
     };
+    // Not a case, but the processes of one.
+    if let ("stopping", Some(Ok(address))) = (name.as_str(), folder.to_str().map(str::parse)) {
+        case_6::stopping(address);
+    }
     // A panic of a stand-in is no verdict about the proxy.
     std::panic::set_hook(Box::new(|what| {
         println!("the case could not run: {what}");
@@ -26,8 +31,9 @@
     case::limit_time();
     let case = case::Case::new(folder);
     match name.as_str() {
-        "6" => case_6::run(case),
         "7" => case_7::run(case),
+        "8" => case_8::run(case),
+        "6" => case_6::run(case),
         _ => case.could_not_run("no such case"),
     }
 }
--- a/review/standin-2/src/wire.rs
+++ b/review/standin-2/src/wire.rs
@@ -120,18 +120,11 @@
     out
 }
 
-/// A cache node's array: the value or null, how the read went, no load report.
-pub fn put_node_reply(value: Option<&[u8]>, how: &str) -> Vec<u8> {
-    let mut out = b"*3\r\n".to_vec();
-    match value {
-        Some(value) => {
-            out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
-            out.extend_from_slice(value);
-            out.extend_from_slice(b"\r\n");
-        }
-        None => out.extend_from_slice(b"$-1\r\n"),
-    }
-    out.extend_from_slice(format!("${}\r\n{how}\r\n$-1\r\n", how.len()).as_bytes());
+/// A cache node's array: the value, how the read went, no load report.
+pub fn put_node_reply(value: &[u8], how: &str) -> Vec<u8> {
+    let mut out = format!("*3\r\n${}\r\n", value.len()).into_bytes();
+    out.extend_from_slice(value);
+    out.extend_from_slice(format!("\r\n${}\r\n{how}\r\n$-1\r\n", how.len()).as_bytes());
     out
 }
 
