--- a/review/standin-2/src/clients.rs
+++ b/review/standin-2/src/clients.rs
@@ -1,6 +1,7 @@
 //! Requests as clients of the protocol page send them.
 
 use crate::wire::*;
+use crate::world::Site;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -21,17 +22,17 @@
 }
 
 /// A read of a key.
-pub fn read(key: u64, patience_ms: u64) -> Request {
+pub fn read(site: Site, key: u64, patience_ms: u64) -> Request {
     let id = new_id();
-    let properties = format!("c=lookup,t=nordurbanki,d={patience_ms}");
+    let properties = format!("{},d={patience_ms}", site.read);
     let bytes = put_command(&[b"CACHE.GET", key_of(key).as_bytes(), id.as_bytes(), properties.as_bytes()]);
     Request { id, patience: Duration::from_millis(patience_ms), bytes }
 }
 
 /// A write of a key, with a value of this many bytes.
-pub fn write(key: u64, patience_ms: u64, value_bytes: usize) -> Request {
+pub fn write(site: Site, key: u64, patience_ms: u64, value_bytes: usize) -> Request {
     let id = new_id();
-    let properties = format!("c=instruct,t=nordurbanki,d={patience_ms},k=k{id}");
+    let properties = format!("{},d={patience_ms},k=k{id}", site.write);
     let value = vec![b'x'; value_bytes];
     let key = key_of(key);
     let words: [&[u8]; 5] = [b"CACHE.SET", key.as_bytes(), id.as_bytes(), properties.as_bytes(), &value];
