Tell in the log what the input of connections waits for, by port

Need: a connection that is closed for want of a whole command (speechless) may have waited for bytes of its client, for room of a memory budget, for its turn or for the answers ahead of it, and nothing told these apart.

Change: the task of a connection keeps what its input waits for, with the bytes that it holds and lacks, where the event loop can read it without being woken. The log has a line for each port where a connection was closed for want of a command (`input_waits`, beside the figures), and at debug one for each such close (`no_command`).

--- a/src/net/activity.rs
+++ b/src/net/activity.rs
@@ -10,6 +10,45 @@
 /// The number of bytes held from which on the owner is woken for every change.
 const LARGE_HOLDING: usize = 16 * 1024;
 
+/// What the input of a downstream waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum InputWait {
+    /// More bytes of the client: its next command, or the rest of one.
+    #[default]
+    Bytes,
+    /// Room of a memory budget, for the command or for its answer.
+    Room,
+    /// The turn of its connection.
+    Turn,
+    /// The answers ahead of its command.
+    Answer,
+}
+
+impl InputWait {
+    /// All of them, in the order of their discriminants.
+    pub const ALL: [InputWait; 4] = [InputWait::Bytes, InputWait::Room, InputWait::Turn, InputWait::Answer];
+
+    /// The name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            InputWait::Bytes => "bytes",
+            InputWait::Room => "room",
+            InputWait::Turn => "turn",
+            InputWait::Answer => "answer",
+        }
+    }
+}
+
+/// The input of a downstream, as the log shows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InputState {
+    pub wait: InputWait,
+    /// Bytes that have arrived and are not taken as commands.
+    pub held: usize,
+    /// At least how many bytes the first command lacks.
+    pub missing: usize,
+}
+
 /// Downstreams whose activity has changed since the owner last looked, each listed once.
 #[derive(Debug)]
 pub struct ChangedDownstreams {
@@ -52,6 +91,8 @@
 pub struct SharedActivity {
     id: DownstreamId,
     activity: Cell<Activity>,
+    /// Not a part of the activity: the owner need not be woken for it.
+    input: Cell<InputState>,
     /// Whether it is listed among the changed downstreams.
     reported: Cell<bool>,
     changed: Rc<ChangedDownstreams>,
@@ -68,6 +109,7 @@
         SharedActivity {
             id,
             activity,
+            input: Cell::default(),
             changed,
             reported: Cell::default(),
             paused: Cell::default(),
@@ -85,6 +127,15 @@
         self.activity.get().waiting_for
     }
 
+    /// What its input waits for.
+    pub fn input(&self) -> InputState {
+        self.input.get()
+    }
+
+    pub(super) fn set_input(&self, input: InputState) {
+        self.input.set(input);
+    }
+
     /// At least how many bytes its command lacks.
     pub fn missing_bytes(&self) -> usize {
         self.activity.get().missing_bytes
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -2,7 +2,7 @@
 //! [`Protocol`] of the port defines their form.
 
 use super::accept::Socket;
-pub use super::activity::{ChangedDownstreams, SharedActivity};
+pub use super::activity::{ChangedDownstreams, InputState, InputWait, SharedActivity};
 use super::answer_queue::AnswerQueue;
 pub use super::answer_queue::MAX_ANSWER;
 use super::input_buffer::InputBuffer;
@@ -210,6 +210,11 @@
                     _ => WaitingFor::Nothing,
                 };
             });
+            progress.set_input(InputState {
+                wait: self.input_wait(waits_for_turn),
+                held: self.input.len(),
+                missing: self.input.missing(),
+            });
             if waits_for_turn && self.turn.is_none() {
                 self.turn = Some(self.link.turns.join(progress.priority(), self.turn_usage));
             }
@@ -316,6 +321,17 @@
         self.answers.held().with(HeldKind::Input, self.input.allocated())
     }
 
+    /// What the input waits for.
+    fn input_wait(&self, waits_for_turn: bool) -> InputWait {
+        let has_whole = self.input.may_be_whole() || self.input.skipped() > 0;
+        match () {
+            () if self.input.ticket().is_some() || self.answers.ticket().is_some() => InputWait::Room,
+            () if waits_for_turn => InputWait::Turn,
+            () if has_whole => InputWait::Answer,
+            () => InputWait::Bytes,
+        }
+    }
+
     /// How many bytes may be read now, having reserved room for them.
     fn readable_bytes(&mut self) -> usize {
         if self.link.progress.is_paused() {
--- a/src/owner/downstreams.rs
+++ b/src/owner/downstreams.rs
@@ -6,7 +6,9 @@
 use crate::admission::{Activity, HeldMemory, HeldShare, InputMemory, ReservationBudget};
 use crate::core::{DownstreamId, Input};
 use crate::net::accept::Socket;
-use crate::net::downstream::{ChangedDownstreams, Link, SharedActivity, TaskMessage, WaitingFor};
+use crate::net::downstream::{
+    ChangedDownstreams, InputState, InputWait, Link, SharedActivity, TaskMessage, WaitingFor,
+};
 use crate::net::turns::TurnQueue;
 use crate::net::{Caller, EventSender, NetEvent};
 use async_channel::Sender;
@@ -125,6 +127,16 @@
         self.moved.take(eager).into_iter().filter_map(shown).collect()
     }
 
+    /// The port of a downstream and what its input waits for.
+    pub(super) fn input(&self, id: DownstreamId) -> Option<(Service, InputState)> {
+        self.open.get(&id).map(|downstream| (downstream.service, downstream.progress.input()))
+    }
+
+    /// What the input of each downstream waits for. Visits all of them.
+    pub(super) fn input_waits(&self) -> impl Iterator<Item = (Service, InputWait)> + '_ {
+        self.open.values().map(|downstream| (downstream.service, downstream.progress.input().wait))
+    }
+
     /// Whether the downstream has sent unread bytes: a command may be on its way.
     pub(super) fn has_unread(&self, id: DownstreamId) -> bool {
         self.open.get(&id).is_some_and(|downstream| !downstream.socket.has_nothing_unread())
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod controls;
 mod discovery;
 mod downstreams;
+mod input_waits;
 mod planners;
 mod ports;
 mod report;
@@ -52,6 +53,7 @@
 use discovery::Discovery;
 use downstreams::{Downstreams, NewDownstream};
 use futures_lite::future;
+use input_waits::InputWaits;
 use planners::Planners;
 use ports::Ports;
 use report::Report;
@@ -94,6 +96,7 @@
     planners: Option<Planners>,
     controls: Option<Controls>,
     report: Report,
+    input_waits: InputWaits,
     /// The memory held for all connections.
     held: Rc<HeldMemory>,
     /// The room for what clients send.
@@ -186,6 +189,7 @@
         planners,
         controls,
         report: Report::new(now, config.memory),
+        input_waits: InputWaits::default(),
         held,
         input_memory,
         flushed: Counts::default(),
@@ -418,6 +422,10 @@
     }
 
     fn close(&mut self, id: DownstreamId, why: CloseReason) {
+        if let Some((service, input)) = self.downstreams.input(id).filter(|_| why == CloseReason::Speechless)
+        {
+            self.input_waits.closed(service, input);
+        }
         self.door.closed(id, why);
         self.core.counters.unanswered += self.core.open_streams_of(id) as u64;
         self.drop_downstream(id);
@@ -491,7 +499,9 @@
             figures.flush(gauges);
         }
         self.publish(now);
-        self.report.tick(now, &self.core, &self.door, &self.input_memory);
+        if self.report.tick(now, &self.core, &self.door, &self.input_memory) {
+            self.input_waits.log(self.downstreams.input_waits());
+        }
         self.report.memory(now, &self.held);
     }
 
@@ -544,6 +554,7 @@
             self.side.log_refused(now, true);
             self.side.log_logins(now, true);
             report::figures(&self.core, &self.door, &self.input_memory);
+            self.input_waits.log(self.downstreams.input_waits());
             info!(event = "ended", streams, "ended with {streams} streams open");
         }
         over
--- a/src/owner/ports.rs
+++ b/src/owner/ports.rs
@@ -21,6 +21,19 @@
 }
 
 impl Service {
+    /// All of them, in the order of their discriminants.
+    pub(super) const ALL: [Service; 4] = [Service::Main, Service::Multiget, Service::Tap, Service::Memcached];
+
+    /// The name of its port in the log.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Service::Main => "main",
+            Service::Multiget => "multi-get",
+            Service::Tap => "tap",
+            Service::Memcached => "memcached",
+        }
+    }
+
     pub(super) fn side(self) -> PortKind {
         if self == Service::Main {
             PortKind::Main
@@ -67,12 +80,13 @@
     info!(event = "listening", name, %address, nodes, "{name}: listening on {address}, {nodes} nodes known");
     let mut ports = vec![(listener, Service::Main)];
     let side_ports = [
-        ("multi-get", features.multiget.as_ref().map(|m| m.port), Service::Multiget),
-        ("tap", features.tap.as_ref().map(|t| t.port), Service::Tap),
-        ("memcached", features.memcached.as_ref().map(|m| m.port), Service::Memcached),
+        (features.multiget.as_ref().map(|m| m.port), Service::Multiget),
+        (features.tap.as_ref().map(|t| t.port), Service::Tap),
+        (features.memcached.as_ref().map(|m| m.port), Service::Memcached),
     ];
-    for (name, number, service) in side_ports {
+    for (number, service) in side_ports {
         let Some(number) = number else { continue };
+        let name = service.name();
         let (listener, address) = bind_one(SocketAddr::new(listen.ip(), number))?;
         info!(event = "side_port", name, %address, "{name}: listening on {address}");
         ports.push((listener, service));
--- a/src/owner/report.rs
+++ b/src/owner/report.rs
@@ -47,10 +47,11 @@
         }
     }
 
-    /// Logs the figures if due, and how many lines about peers were suppressed since.
-    pub(super) fn tick(&mut self, now: Micros, core: &Core, door: &Admission, input: &InputMemory) {
+    /// Logs the figures if due, and how many lines about peers were suppressed since. Returns whether they
+    /// were due.
+    pub(super) fn tick(&mut self, now: Micros, core: &Core, door: &Admission, input: &InputMemory) -> bool {
         if now - self.last_figures < FIGURES_INTERVAL {
-            return;
+            return false;
         }
         self.last_figures = now;
         figures(core, door, input);
@@ -58,6 +59,7 @@
         if lines > 0 {
             warn!(event = "left_out", lines, "{lines} further lines about peers suppressed");
         }
+        true
     }
 
     /// Logs what is held in memory for connections, if it was much since the last time.
