Take from the codec how long an incomplete command is, at every port

What callers saw: a memcached frame that came in two pieces had no answer, whatever it was and wherever it was cut; its connection was closed 2 s later. Nothing was sent to a node or the origin for it. The port is off in service.

Cause: Protocol::least_command_bytes had a default, what has arrived and 16 KiB more, which the memcached port did not override. The connection looks at its input again once so many bytes have arrived, and they never come: the promise of a lower bound was broken by the default itself. The codec had told the right number, and the port threw it away.

No room and no turn was waited for.

Change: Protocol::parse tells in one value either what was taken or how long the incomplete command will be at least; there is no default, and the number comes from the codec that found the command incomplete. resp::command tells it too, so that incomplete RESP commands are walked once and not twice. Protocol::max_command_bytes, which nothing used, is gone: its promise to read ahead was kept by nobody.

--- a/crates/cost/src/request.rs
+++ b/crates/cost/src/request.rs
@@ -190,7 +190,10 @@
 
 #[inline(never)]
 fn stage_parse(bytes: &[u8]) -> Vec<Vec<u8>> {
-    resp::command(black_box(bytes)).ok().flatten().map(|(words, _)| words).unwrap_or_default()
+    match resp::command(black_box(bytes)) {
+        Ok(resp::Command::Whole(words, _)) => words,
+        _ => Vec::new(),
+    }
 }
 
 #[inline(never)]
--- a/crates/lab/src/loopback/socket/wire.rs
+++ b/crates/lab/src/loopback/socket/wire.rs
@@ -67,7 +67,7 @@
 }
 
 fn resp_command(bytes: &[u8]) -> Parsed<Command> {
-    let Some((words, taken)) = resp::command(bytes)? else { return Ok(None) };
+    let resp::Command::Whole(words, taken) = resp::command(bytes)? else { return Ok(None) };
     let name = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
     let mut rest = words.into_iter().skip(1);
     let count = rest.len();
--- a/src/codec/resp.rs
+++ b/src/codec/resp.rs
@@ -76,19 +76,32 @@
     walk(bytes, |_| ())
 }
 
+/// The first command of some bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Its words, and how many bytes it takes.
+    Whole(Vec<Vec<u8>>, usize),
+    /// The command is incomplete and will have this many bytes at least.
+    AtLeast(usize),
+}
+
 /// Parses a command: the words of an array of bulk strings. Words are copied once the command is complete.
-pub fn command(bytes: &[u8]) -> Parsed<Vec<Vec<u8>>> {
+///
+/// # Errors
+///
+/// The bytes are not the beginning of a command.
+pub fn command(bytes: &[u8]) -> Result<Command, Malformed> {
     let (mut ranges, mut n) = ([const { 0..0 }; MAX_WORDS], 0);
     let extent = walk(bytes, |range| {
         ranges[n] = range;
         n += 1;
     })?;
-    match extent {
+    Ok(match extent {
         Extent::Whole(taken) => {
-            Ok(Some((ranges.into_iter().take(n).map(|range| bytes[range].to_vec()).collect(), taken)))
+            Command::Whole(ranges.into_iter().take(n).map(|range| bytes[range].to_vec()).collect(), taken)
         }
-        Extent::AtLeast(_) => Ok(None),
-    }
+        Extent::AtLeast(least) => Command::AtLeast(least),
+    })
 }
 
 fn bulk(bytes: &[u8], len: usize) -> Result<Option<&[u8]>, Malformed> {
--- a/src/codec/resp/skip/tests.rs
+++ b/src/codec/resp/skip/tests.rs
@@ -1,4 +1,4 @@
-use super::super::{command, extent, put_command, Extent, MAX_WORDS};
+use super::super::{command, extent, put_command, Command, Extent, MAX_WORDS};
 use super::*;
 use proptest::prelude::*;
 
@@ -21,8 +21,8 @@
         let (mut parsed, mut at, mut sound) = (0, 0, true);
         while sound && at < bytes.len() {
             match command(&bytes[at..]) {
-                Ok(Some((_, taken))) => (parsed, at) = (parsed + 1, at + taken),
-                Ok(None) => break,
+                Ok(Command::Whole(_, taken)) => (parsed, at) = (parsed + 1, at + taken),
+                Ok(Command::AtLeast(_)) => break,
                 Err(_) => sound = false,
             }
         }
@@ -43,6 +43,7 @@
         let cut = cut.index(bytes.len());
         let Ok(Extent::AtLeast(least)) = extent(&bytes[..cut]) else { panic!("it is incomplete") };
         prop_assert!(least > cut && least <= bytes.len(), "{} of {}, cut at {}", least, bytes.len(), cut);
+        prop_assert_eq!(command(&bytes[..cut]), Ok(Command::AtLeast(least)));
         prop_assert_eq!(extent(&bytes), Ok(Extent::Whole(bytes.len())));
     }
 }
--- a/src/features/multiget.rs
+++ b/src/features/multiget.rs
@@ -5,7 +5,7 @@
 use crate::core::{Answer, DownstreamId, NewStream};
 use crate::interface::Repeat;
 use crate::net::command::CommandParser;
-use crate::net::protocol::{self, resp_error, Parsed, Protocol};
+use crate::net::protocol::{self, resp_error, ParseStep, Parsed, Protocol};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -84,14 +84,10 @@
         self.permits = None;
     }
 
-    fn parse(&mut self, downstream: DownstreamId, first: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
+    fn parse(&mut self, downstream: DownstreamId, first: u64, bytes: &[u8]) -> ParseStep {
         protocol::resp_command(bytes, |command, taken| self.command(downstream, first, command, taken))
     }
 
-    fn least_command_bytes(&self, bytes: &[u8]) -> usize {
-        protocol::least_resp_command(bytes)
-    }
-
     fn encode_answer(&mut self, _: u64, answer: Answer) -> Vec<u8> {
         match answer {
             Answer::Late => resp_error("BUSY"),
@@ -136,9 +132,9 @@
             Err(what) => batch.fail(what),
         }
         if batch.received < batch.wanted {
-            return Parsed::Incomplete;
+            return Parsed::Part;
         }
-        let Some(batch) = self.batch.take() else { return Parsed::Incomplete };
+        let Some(batch) = self.batch.take() else { return Parsed::Part };
         if let Some(reason) = batch.fault {
             return Parsed::Local(resp_error(&format!("ERR {reason}")));
         }
@@ -165,7 +161,7 @@
                 };
                 let streams = Vec::with_capacity(wanted);
                 self.batch = Some(Batch { wanted, received: 0, bytes: 0, streams, fault: None });
-                Parsed::Incomplete
+                Parsed::Part
             }
             (b"CACHE.MGET", ..) => Parsed::Close(resp_error("ERR wrong number of arguments")),
             (b"CACHE.GET" | b"CACHE.SET", ..) => {
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -2,7 +2,7 @@
 //! positions in the settings, and errors become local replies. [`MainProtocol`] is the protocol of the main
 //! port, which has no other commands.
 
-use super::protocol::{least_resp_command, resp_answer, resp_command, resp_error, Parsed, Protocol};
+use super::protocol::{resp_answer, resp_command, resp_error, ParseStep, Parsed, Protocol};
 use crate::codec::discovery;
 use crate::core::{Answer, DownstreamId, Message, NewStream};
 use crate::interface::*;
@@ -129,14 +129,10 @@
         MAX_STREAMS
     }
 
-    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
+    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> ParseStep {
         resp_command(bytes, |command, _| self.0.parse(downstream, place, command))
     }
 
-    fn least_command_bytes(&self, bytes: &[u8]) -> usize {
-        least_resp_command(bytes)
-    }
-
     fn skips(&self) -> bool {
         true
     }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -6,7 +6,7 @@
 use super::answer_queue::AnswerQueue;
 pub use super::answer_queue::MAX_ANSWER;
 use super::input_buffer::InputBuffer;
-use super::protocol::{resp_error, Parsed, Protocol};
+use super::protocol::{resp_error, ParseStep, Parsed, Protocol};
 use super::turns::{
     TurnQueue, TurnTicket, TurnUsage, BYTES_PER_TURN, COMMANDS_PER_TURN, COMMANDS_WITHOUT_TURN,
 };
@@ -415,15 +415,15 @@
             }
             taken_commands += 1;
             let place = self.answers.next_place();
-            let Some((taken, mut parsed)) =
-                self.protocol.parse(self.link.id, place, &self.input.bytes()[at..])
-            else {
-                // What has arrived is no whole command.
-                self.answers.leave_queue();
-                let least = self.protocol.least_command_bytes(&self.input.bytes()[at..]);
-                self.input.consume(at);
-                self.input.set_partial(least);
-                return;
+            let step = self.protocol.parse(self.link.id, place, &self.input.bytes()[at..]);
+            let (taken, mut parsed) = match step {
+                ParseStep::Taken(taken, parsed) => (taken, parsed),
+                ParseStep::Incomplete(least) => {
+                    self.answers.leave_queue();
+                    self.input.consume(at);
+                    self.input.set_partial(least);
+                    return;
+                }
             };
             at += taken;
             if let (Some(room), Parsed::Stream(ask)) = (self.input.split_room(taken), &mut parsed) {
@@ -431,7 +431,7 @@
             }
             // Updated before the owner hears of the stream: from here on a command is in progress.
             self.link.progress.update(|activity| {
-                activity.steps += u64::from(!matches!(parsed, Parsed::Incomplete | Parsed::Malformed(_)));
+                activity.steps += u64::from(!matches!(parsed, Parsed::Part | Parsed::Malformed(_)));
                 match &parsed {
                     Parsed::Stream(ask) => activity.add_stream(ask),
                     Parsed::Streams(asks) => asks.first().into_iter().for_each(|a| activity.add_stream(a)),
@@ -442,11 +442,11 @@
                     Parsed::Malformed(_) => {
                         (activity.local_replies, activity.malformed) = (activity.local_replies + 1, true)
                     }
-                    Parsed::Incomplete => {}
+                    Parsed::Part => {}
                 }
             });
             match parsed {
-                Parsed::Incomplete => {}
+                Parsed::Part => {}
                 Parsed::Local(answer) => {
                     self.answers.push_ready(answer);
                     self.needs_turn = true;
--- a/src/net/input_buffer.rs
+++ b/src/net/input_buffer.rs
@@ -5,7 +5,7 @@
 
 use super::READ;
 use crate::admission::{ArrivalGuard, InputMemory, Priority, QueueTicket, Reservation, UNRESERVED_INPUT};
-use crate::codec::resp::CommandSkipper;
+use crate::codec::resp::{CommandSkipper, MAX_COMMAND};
 use crate::codec::Malformed;
 use std::rc::Rc;
 use std::time::Instant;
@@ -234,6 +234,7 @@
 
     /// The first command is incomplete and will have this many bytes at least.
     pub fn set_partial(&mut self, least: usize) {
+        debug_assert!(least > self.bytes.len() && least <= MAX_COMMAND, "{least} of {}", self.bytes.len());
         self.front = Front::Partial(least);
     }
 
--- a/src/net/memcached/gateway.rs
+++ b/src/net/memcached/gateway.rs
@@ -13,7 +13,7 @@
 use crate::codec::resp;
 use crate::core::{Answer, DownstreamId};
 use crate::net::command::CommandParser;
-use crate::net::protocol::{Parsed, Protocol};
+use crate::net::protocol::{ParseStep, Parsed, Protocol};
 use memcached::{frame, header, sasl, Fault, Header, Limits, Opcode, Request, Response, Status, Step};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -75,10 +75,6 @@
         MAX_STREAMS
     }
 
-    fn max_command_bytes(&self) -> usize {
-        LIMITS.max_frame_len()
-    }
-
     fn is_mid_command(&self) -> bool {
         self.skip_bytes > 0
     }
@@ -87,15 +83,15 @@
         self.arrivals.received(n, Instant::now());
     }
 
-    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
+    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> ParseStep {
         if self.skip_bytes > 0 {
             let passed = self.skip_bytes.min(bytes.len());
             self.skip_bytes -= passed;
             self.arrivals.take(passed);
-            return Some((passed, Parsed::Incomplete));
+            return ParseStep::Taken(passed, Parsed::Part);
         }
         let (taken, parsed) = match frame::request(bytes, &LIMITS) {
-            Ok(Step::Incomplete(_)) => return None,
+            Ok(Step::Incomplete(least)) => return ParseStep::Incomplete(least),
             Ok(Step::Complete(request, taken)) => {
                 let received_at = self.arrivals.take(taken);
                 (taken, self.command(downstream, place, &request, received_at))
@@ -107,12 +103,12 @@
             }
         };
         match &parsed {
-            Parsed::Incomplete => {}
+            Parsed::Part => {}
             // It was added to `pending` when the stream was started.
             Parsed::Stream(_) => {}
             _ => self.pending.push_back(None),
         }
-        Some((taken, parsed))
+        ParseStep::Taken(taken, parsed)
     }
 
     fn encode_answer(&mut self, place: u64, answer: Answer) -> Vec<u8> {
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -8,7 +8,6 @@
 //!
 //! [`Link`]: super::downstream::Link
 
-use super::READ;
 use crate::codec::resp;
 use crate::core::{Answer, DownstreamId, NewStream};
 use std::time::Duration;
@@ -20,8 +19,8 @@
     Stream(Box<NewStream>),
     /// One answer from several streams, built by [`Protocol::combine`].
     Streams(Vec<NewStream>),
-    /// A part of a command, which further parts will complete.
-    Incomplete,
+    /// A part of a command that is taken by itself; further parts will complete the command.
+    Part,
     /// A local reply that is delayed to slow the client down; no command is taken in the meantime.
     Delayed(Vec<u8>, Duration),
     /// A last answer, after which the connection is closed.
@@ -30,25 +29,30 @@
     Malformed(Vec<u8>),
 }
 
+/// What the bytes of a client begin with.
+#[derive(Debug)]
+pub enum ParseStep {
+    /// A whole command, or a part that is taken by itself, and the number of bytes taken.
+    Taken(usize, Parsed),
+    /// An incomplete command, which will have this many bytes at least.
+    ///
+    /// Room for so many is reserved, and the bytes are not parsed again before so many have arrived. So the
+    /// number has to come from what the command itself says: one byte too many, and a client that has sent
+    /// its whole command waits for an answer that never comes. The codec that finds a command incomplete
+    /// tells the number ([`resp::Command::AtLeast`], [`memcached::Step::Incomplete`]).
+    Incomplete(usize),
+}
+
 /// The protocol of one port, with the state of one connection.
 pub trait Protocol {
     /// The maximum number of open streams of a connection.
     fn max_streams(&self) -> usize;
 
-    /// Parses the first command of `bytes`, which holds everything received and not taken yet. Returns the
-    /// number of bytes taken and the command, or `None` while it is incomplete. `place` is the place of its
-    /// answer among all of the connection; the streams of [`Parsed::Streams`] take the places from there on.
-    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> Option<(usize, Parsed)>;
-
-    /// The maximum length of a command; at least as many bytes are read ahead.
-    fn max_command_bytes(&self) -> usize {
-        resp::MAX_COMMAND
-    }
-
-    /// How many bytes the first command of `bytes`, which is incomplete, will have at least.
-    fn least_command_bytes(&self, bytes: &[u8]) -> usize {
-        (bytes.len() + READ).min(self.max_command_bytes()).max(bytes.len() + 1)
-    }
+    /// Parses the first command of `bytes`, which holds everything received and not taken yet and is not
+    /// empty. No command is longer than [`resp::MAX_COMMAND`], for which there is always room. `place` is the
+    /// place of its answer among all of the connection; the streams of [`Parsed::Streams`] take the places
+    /// from there on.
+    fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> ParseStep;
 
     /// Whether commands are RESP arrays that may be read past without being parsed.
     fn skips(&self) -> bool {
@@ -93,26 +97,17 @@
 }
 
 /// Splits off the first RESP array of `bytes` and passes it to `take` with its length.
-pub fn resp_command(
-    bytes: &[u8],
-    take: impl FnOnce(Vec<Vec<u8>>, usize) -> Parsed,
-) -> Option<(usize, Parsed)> {
+pub fn resp_command(bytes: &[u8], take: impl FnOnce(Vec<Vec<u8>>, usize) -> Parsed) -> ParseStep {
     match resp::command(bytes) {
-        Ok(whole) => whole.map(|(command, taken)| (taken, take(command, taken))),
+        Ok(resp::Command::Whole(command, taken)) => ParseStep::Taken(taken, take(command, taken)),
+        Ok(resp::Command::AtLeast(least)) => ParseStep::Incomplete(least),
         Err(malformed) => {
-            Some((0, Parsed::Malformed(resp_error(&format!("ERR Protocol error: {}", malformed.0)))))
+            let error = resp_error(&format!("ERR Protocol error: {}", malformed.0));
+            ParseStep::Taken(0, Parsed::Malformed(error))
         }
     }
 }
 
-/// How many bytes the RESP array that begins with these bytes will have at least.
-pub fn least_resp_command(bytes: &[u8]) -> usize {
-    match resp::extent(bytes) {
-        Ok(resp::Extent::AtLeast(least)) => least,
-        Ok(resp::Extent::Whole(_)) | Err(_) => bytes.len() + 1,
-    }
-}
-
 /// Encodes a final answer in RESP.
 pub fn resp_answer(answer: Answer) -> Vec<u8> {
     match answer {
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -9,7 +9,7 @@
 use martenweir::core::{DownstreamId, Input};
 use martenweir::net::accept::{accept, ConnectionLimiter, Socket};
 use martenweir::net::downstream::{serve, ChangedDownstreams, Link, SharedActivity, TaskMessage};
-use martenweir::net::protocol::{resp_command, Parsed, Protocol};
+use martenweir::net::protocol::{resp_command, ParseStep, Parsed, Protocol};
 use martenweir::net::{Caller, NetEvent, PortIndex};
 use rstest::rstest;
 use std::cell::Cell;
@@ -25,7 +25,7 @@
         1
     }
 
-    fn parse(&mut self, _: DownstreamId, _: u64, bytes: &[u8]) -> Option<(usize, Parsed)> {
+    fn parse(&mut self, _: DownstreamId, _: u64, bytes: &[u8]) -> ParseStep {
         resp_command(bytes, |mut command, _| Parsed::Local(command.pop().unwrap_or_default()))
     }
 }
--- a/tests/memcached.rs
+++ b/tests/memcached.rs
@@ -9,7 +9,7 @@
 use martenweir::net::downstream::{serve, ChangedDownstreams, Link, SharedActivity, TaskMessage, WaitingFor};
 use martenweir::net::memcached::gateway::GatewayConnection;
 use martenweir::net::memcached::{PortState, Settings};
-use martenweir::net::protocol::{Parsed, Protocol};
+use martenweir::net::protocol::{ParseStep, Parsed, Protocol};
 use martenweir::net::{Caller, NetEvent};
 use martenweir::settings::{self, Site};
 use memcached::{frame, Limits, Opcode, Request, Response, Status, Step};
@@ -50,11 +50,16 @@
 /// Takes all complete commands of `bytes`.
 fn take(connection: &mut GatewayConnection, place: &mut u64, bytes: &mut Vec<u8>) -> Vec<Parsed> {
     let mut all = Vec::new();
-    while let Some((taken, parsed)) =
-        connection.parse(DownstreamId(1), *place, bytes).filter(|_| !bytes.is_empty())
-    {
+    while !bytes.is_empty() {
+        let (taken, parsed) = match connection.parse(DownstreamId(1), *place, bytes) {
+            ParseStep::Taken(taken, parsed) => (taken, parsed),
+            ParseStep::Incomplete(least) => {
+                assert!(least > bytes.len() && least <= Limits::default().max_frame_len());
+                break;
+            }
+        };
         bytes.drain(..taken);
-        *place += u64::from(!matches!(parsed, Parsed::Incomplete));
+        *place += u64::from(!matches!(parsed, Parsed::Part));
         let closes = matches!(parsed, Parsed::Close(_) | Parsed::Malformed(_));
         all.push(parsed);
         if closes {
@@ -285,7 +290,7 @@
                 held.extend_from_slice(part);
                 for parsed in take(&mut connection, &mut place, &mut held) {
                     let line = match parsed {
-                        Parsed::Incomplete => continue,
+                        Parsed::Part => continue,
                         Parsed::Close(_) | Parsed::Malformed(_) => "closed".to_owned(),
                         Parsed::Stream(ask) => format!("{:?} {:?}", ask.message.verb, ask.message.key),
                         other => format!("{other:?}"),
@@ -295,7 +300,7 @@
                 if reported.last().is_some_and(|last| last == "closed") {
                     break;
                 }
-                assert!(held.len() < connection.max_command_bytes() + piece);
+                assert!(held.len() < Limits::default().max_frame_len() + piece);
             }
             reported
         };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod clients;
+pub mod gateway;
 pub mod hostile;
 pub mod program;
 pub mod registry;
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -2,6 +2,7 @@
 
 use super::line;
 use rustix::process::{kill_process, Pid, Signal};
+use std::collections::BTreeMap;
 use std::io::{self, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,11 +25,13 @@
     pub discovery: Option<SocketAddr>,
     /// Replaces `repeat` of the class of writes.
     pub write_repeat: &'static str,
+    /// The lines of the operators' file; there is none without any.
+    pub features: Vec<String>,
 }
 
 impl Start {
     pub fn new(memory_mb: u64, sockets: u64, members: serde_json::Value) -> Self {
-        Start { memory_mb, sockets, members, discovery: None, write_repeat: "dedup" }
+        Start { memory_mb, sockets, members, discovery: None, write_repeat: "dedup", features: Vec::new() }
     }
 }
 
@@ -51,7 +54,10 @@
 pub struct Program {
     pub child: Child,
     pub address: SocketAddr,
+    /// The addresses of its other ports, by their names in the log.
+    pub side_ports: BTreeMap<String, SocketAddr>,
     config: PathBuf,
+    features: PathBuf,
 }
 
 impl Program {
@@ -74,21 +80,32 @@
         let path =
             std::env::temp_dir().join(format!("martenweir-process-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).expect("a file");
+        let features = path.with_extension("conf");
+        std::fs::write(&features, start.features.join("\n")).expect("a file");
         // Another build can be put under the same tests, to compare the two.
         let built = std::env::var("MARTENWEIR").unwrap_or(env!("CARGO_BIN_EXE_martenweir").into());
-        let mut child = Command::new(built).arg(&path).stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut command = Command::new(built);
+        if !start.features.is_empty() {
+            command.arg("--conf").arg(&features);
+        }
+        let mut child = command.arg(&path).stderr(Stdio::piped()).spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
-        let listening = line(&mut log).expect("a line");
-        let address = listening.split("listening on ").nth(1).and_then(|text| text.split(',').next());
-        let address = address.and_then(|text| text.parse().ok()).expect("its address");
-        while !line(&mut log).expect("a line").ends_with("ready") {}
+        let (_, address) = listening(&line(&mut log).expect("a line")).expect("its address");
+        let mut side_ports = BTreeMap::new();
+        loop {
+            let logged = line(&mut log).expect("a line");
+            side_ports.extend(listening(&logged));
+            if logged.ends_with("ready") {
+                break;
+            }
+        }
         // The program must not wait for a reader of its log.
         let shown = std::env::var_os("SHOW_LOG").is_some();
         thread::spawn(move || match shown {
             true => io::copy(&mut log, &mut io::stderr()),
             false => io::copy(&mut log, &mut io::sink()),
         });
-        Program { child, address, config: path }
+        Program { child, address, side_ports, config: path, features }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -124,9 +141,17 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.features);
     }
 }
 
+/// The name and the address of a port, if this line of the log tells that it is open.
+fn listening(logged: &str) -> Option<(String, SocketAddr)> {
+    let (name, address) = logged.split_once(": listening on ")?;
+    let address = address.split(',').next()?.parse().ok()?;
+    Some((name.rsplit(' ').next()?.to_owned(), address))
+}
+
 /// The memory that is no file's (`RssAnon` and `RssShmem`, see proc(5)), in bytes.
 fn memory(status: &str) -> u64 {
     let fields = status.lines().filter_map(|line| line.split_once(':'));
--- a/tests/support/servers.rs
+++ b/tests/support/servers.rs
@@ -1,5 +1,6 @@
 //! Cache nodes and the origin.
 
+use super::gateway::NodeReply;
 use super::{bulk, line, TIMEOUT, VALUE};
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -149,6 +150,14 @@
     }
 }
 
+/// A cache node that speaks the memcached protocol.
+pub fn memcached_node(reply: NodeReply) -> impl Fn() -> SocketAddr {
+    move || {
+        let reply = reply.clone();
+        serve(move |socket| reply.serve(socket))
+    }
+}
+
 /// A cache node that answers each command after `delay` and records it.
 pub fn recording_node(
     address: SocketAddr,
