Count the time of a memcached frame in many pieces from its last byte

What callers saw: a gateway's frame in 250 pieces, 6 ms apart, was answered "out of time, not asked" (0x86) as soon as it was whole.

Cause: the port takes the time since a request's last byte off its deadline. It kept the arrival of 64 pieces at the most, and what came behind them counted as having come with the 64th; for one incomplete frame that is a guess, and wrong by all the time that the rest took.

Change: what has arrived of a frame that is known to be incomplete is one entry, with the time of its latest byte. Frames that are whole and wait for room are counted as before.

Evidence and measure: by hand, release build, a GET of 274 bytes in 274 pieces, 1.68 s in all, at a proxy that knows no node: before 0x86 "out of time, not asked", now 0x85, the answer to a request that was asked. The unit test a_command_in_many_pieces_counts_from_its_last_byte fails on the former code (1.26 s too early).

--- a/src/net/memcached/arrivals.rs
+++ b/src/net/memcached/arrivals.rs
@@ -11,28 +11,45 @@
 
 /// The bytes received and not taken, with their arrival times.
 #[derive(Debug, Default)]
-pub(super) struct Arrivals(VecDeque<(usize, Instant)>);
+pub(super) struct Arrivals {
+    entries: VecDeque<(usize, Instant)>,
+    /// At least how many bytes the command at the front has, if it is known to be incomplete.
+    awaited: usize,
+}
 
 impl Arrivals {
     pub(super) fn received(&mut self, n: usize, now: Instant) {
-        let full = self.0.len() >= MAX_ENTRIES;
-        match self.0.back_mut() {
+        let held: usize = self.entries.iter().map(|(bytes, _)| bytes).sum();
+        if held < self.awaited {
+            // All of it belongs to one command, which arrives with its last byte.
+            self.entries.clear();
+            self.entries.push_back((held + n, now));
+            return;
+        }
+        let full = self.entries.len() >= MAX_ENTRIES;
+        match self.entries.back_mut() {
             Some((bytes, at)) if full || now - *at < MERGE_WINDOW => *bytes += n,
-            _ => self.0.push_back((n, now)),
+            _ => self.entries.push_back((n, now)),
         }
     }
 
+    /// The command at the front is incomplete and has this many bytes at least.
+    pub(super) fn awaits(&mut self, least: usize) {
+        self.awaited = least;
+    }
+
     /// Takes the first `n` bytes and returns when the last of them arrived.
     pub(super) fn take(&mut self, mut n: usize) -> Option<Instant> {
+        self.awaited = 0;
         let mut last = None;
-        while let Some((bytes, at)) = self.0.front_mut() {
+        while let Some((bytes, at)) = self.entries.front_mut() {
             last = Some(*at);
             if *bytes > n {
                 *bytes -= n;
                 break;
             }
             n -= *bytes;
-            self.0.pop_front();
+            self.entries.pop_front();
             if n == 0 {
                 break;
             }
--- a/src/net/memcached/gateway.rs
+++ b/src/net/memcached/gateway.rs
@@ -91,7 +91,10 @@
             return ParseStep::Taken(passed, Parsed::Part);
         }
         let (taken, parsed) = match frame::request(bytes, &LIMITS) {
-            Ok(Step::Incomplete(least)) => return ParseStep::Incomplete(least),
+            Ok(Step::Incomplete(least)) => {
+                self.arrivals.awaits(least);
+                return ParseStep::Incomplete(least);
+            }
             Ok(Step::Complete(request, taken)) => {
                 let received_at = self.arrivals.take(taken);
                 (taken, self.command(downstream, place, &request, received_at))
