Refuse commands without room at every port, as the main port does

What callers saw: while large commands of others held all of the memory for input, a memcached frame with a large value had no answer, within 3 s or until the others' connections were closed; a long multi-get came late.

Cause: Protocol::skips had a default, no, and with it the wait for room had no limit, nothing was refused behind it, and an unfinished command kept its room although others waited. Only the main port said yes.

Change: each protocol has to say what becomes of a command without room (Protocol::refuse_without_room, no default). The limit of the wait and the loss of room hold for all ports. The memcached port answers 0x85 and passes over the rest of the body, the multi-get port answers -BUSY and closes. The main port does what it did.

Measured: a_command_without_room_is_answered_in_time in tests/pieces.rs.

--- a/src/features/multiget.rs
+++ b/src/features/multiget.rs
@@ -5,7 +5,7 @@
 use crate::core::{Answer, DownstreamId, NewStream};
 use crate::interface::Repeat;
 use crate::net::command::CommandParser;
-use crate::net::protocol::{self, resp_error, ParseStep, Parsed, Protocol};
+use crate::net::protocol::{self, resp_error, ParseStep, Parsed, Protocol, WithoutRoom};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -88,6 +88,11 @@
         protocol::resp_command(bytes, |command, taken| self.command(downstream, first, command, taken))
     }
 
+    /// A multi-get is one command of many arrays, and its rest cannot be told from the next.
+    fn refuse_without_room(&mut self, _: &[u8]) -> WithoutRoom {
+        WithoutRoom::Closed(resp_error("BUSY"))
+    }
+
     fn encode_answer(&mut self, _: u64, answer: Answer) -> Vec<u8> {
         match answer {
             Answer::Late => resp_error("BUSY"),
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -2,7 +2,7 @@
 //! positions in the settings, and errors become local replies. [`MainProtocol`] is the protocol of the main
 //! port, which has no other commands.
 
-use super::protocol::{resp_answer, resp_command, resp_error, ParseStep, Parsed, Protocol};
+use super::protocol::{resp_answer, resp_command, resp_error, ParseStep, Parsed, Protocol, WithoutRoom};
 use crate::codec::discovery;
 use crate::core::{Answer, DownstreamId, Message, NewStream};
 use crate::interface::*;
@@ -133,6 +133,10 @@
         resp_command(bytes, |command, _| self.0.parse(downstream, place, command))
     }
 
+    fn refuse_without_room(&mut self, _: &[u8]) -> WithoutRoom {
+        WithoutRoom::ReadPast
+    }
+
     fn skips(&self) -> bool {
         true
     }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -6,7 +6,7 @@
 use super::answer_queue::AnswerQueue;
 pub use super::answer_queue::MAX_ANSWER;
 use super::input_buffer::InputBuffer;
-use super::protocol::{resp_error, ParseStep, Parsed, Protocol};
+use super::protocol::{resp_error, ParseStep, Parsed, Protocol, WithoutRoom};
 use super::turns::{
     TurnQueue, TurnTicket, TurnUsage, BYTES_PER_TURN, COMMANDS_PER_TURN, COMMANDS_WITHOUT_TURN,
 };
@@ -268,9 +268,8 @@
                 };
                 Wakeup::InputRoom
             };
-            let skips = self.protocol.skips();
             let revoked = async {
-                match self.input.arrival().filter(|_| skips) {
+                match self.input.arrival() {
                     Some(arrival) => arrival.revoked().await,
                     None => future::pending().await,
                 };
@@ -283,7 +282,7 @@
             match wakeup {
                 Wakeup::Order(Some(order)) => self.handle_message(order),
                 Wakeup::Room | Wakeup::Turn | Wakeup::InputRoom => {}
-                Wakeup::NoInputRoom => self.skip_input(),
+                Wakeup::NoInputRoom => self.refuse_input(),
                 Wakeup::DelayElapsed => {
                     if let Some((place, answer, _)) = self.delayed.take() {
                         self.answers.complete(place, answer);
@@ -345,13 +344,14 @@
         self.input.reserve(Instant::now(), self.link.progress.priority())
     }
 
-    /// When input without room is to be read past; `None` if it has room, or the protocol cannot.
+    /// When input without room is to be refused; `None` if it has room, or it waits behind commands and the
+    /// protocol cannot read past it.
     fn skip_at(&self) -> Option<Instant> {
-        let since = self.input.blocked_since().filter(|_| self.protocol.skips())?;
+        let since = self.input.blocked_since()?;
         match self.input.waits_for_command() {
             true if self.finish_now => Some(since),
             true => Some(since + ROOM_WAIT),
-            false => Some(since + READ_AHEAD_WAIT),
+            false => Some(since + READ_AHEAD_WAIT).filter(|_| self.protocol.skips()),
         }
     }
 
@@ -368,6 +368,23 @@
         }
     }
 
+    /// Refuses what has no room.
+    fn refuse_input(&mut self) {
+        if !self.input.is_partial() {
+            return self.skip_input();
+        }
+        let (answer, closes) = match self.protocol.refuse_without_room(self.input.bytes()) {
+            WithoutRoom::ReadPast => return self.skip_input(),
+            WithoutRoom::Refused(answer) => (answer, false),
+            WithoutRoom::Closed(answer) => (answer, true),
+        };
+        self.input.clear();
+        self.count_refused();
+        self.answers.push_ready(answer);
+        self.closing |= closes;
+        self.needs_turn = true;
+    }
+
     /// Reads past what has no room.
     fn skip_input(&mut self) {
         let whole = match self.input.may_be_whole() {
@@ -381,13 +398,17 @@
 
     /// Refuses a command that was read past.
     fn refuse_skipped(&mut self) {
+        self.count_refused();
+        self.answers.push_ready(self.protocol.refusal());
+        self.needs_turn = true;
+    }
+
+    fn count_refused(&self) {
         self.link.input_memory.count_refused(1);
         self.link.progress.update(|activity| {
             activity.steps += 1;
             activity.local_replies += 1;
         });
-        self.answers.push_ready(self.protocol.refusal());
-        self.needs_turn = true;
     }
 
     /// Answers bytes that are no command, and reads nothing more.
--- a/src/net/input_buffer.rs
+++ b/src/net/input_buffer.rs
@@ -238,6 +238,11 @@
         self.front = Front::Partial(least);
     }
 
+    /// Whether the first command is known to be incomplete.
+    pub fn is_partial(&self) -> bool {
+        matches!(self.front, Front::Partial(_))
+    }
+
     /// Splits off the room of a command of this many bytes, which is about to be taken.
     pub fn split_room(&mut self, command: usize) -> Option<Reservation> {
         self.arrival = None;
@@ -262,9 +267,10 @@
         self.shrink();
     }
 
-    /// Drops all input, because nothing more is taken.
+    /// Drops all input, because nothing more is taken or it is refused.
     pub fn clear(&mut self) {
         (self.front, self.ticket, self.arrival, self.skipping) = (Front::Unknown, None, None, None);
+        self.blocked_since = None;
         self.bytes = Vec::new();
         self.shrink();
     }
--- a/src/net/memcached/gateway.rs
+++ b/src/net/memcached/gateway.rs
@@ -13,7 +13,7 @@
 use crate::codec::resp;
 use crate::core::{Answer, DownstreamId};
 use crate::net::command::CommandParser;
-use crate::net::protocol::{ParseStep, Parsed, Protocol};
+use crate::net::protocol::{ParseStep, Parsed, Protocol, WithoutRoom};
 use memcached::{frame, header, sasl, Fault, Header, Limits, Opcode, Request, Response, Status, Step};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -114,6 +114,15 @@
         ParseStep::Taken(taken, parsed)
     }
 
+    fn refuse_without_room(&mut self, bytes: &[u8]) -> WithoutRoom {
+        self.arrivals.take(bytes.len());
+        self.pending.push_back(None);
+        // A frame that needs room has its header; nothing else tells where it ends.
+        let Some((_, header)) = Header::read(bytes) else { return WithoutRoom::Closed(Vec::new()) };
+        self.skip_bytes = (header::LEN + header.body as usize).saturating_sub(bytes.len());
+        WithoutRoom::Refused(encode_error(Opcode(header.opcode), header.opaque, Status::BUSY, "busy"))
+    }
+
     fn encode_answer(&mut self, place: u64, answer: Answer) -> Vec<u8> {
         let at = usize::try_from(place.wrapping_sub(self.first)).ok();
         let asked = at.and_then(|at| self.pending.get(at)).and_then(Option::as_ref);
--- a/src/net/protocol.rs
+++ b/src/net/protocol.rs
@@ -43,6 +43,18 @@
     Incomplete(usize),
 }
 
+/// What becomes of an incomplete command for which there is no room.
+#[derive(Debug)]
+pub enum WithoutRoom {
+    /// It is a RESP array, which the connection reads past without holding it; then it gets
+    /// [`Protocol::refusal`].
+    ReadPast,
+    /// It is dropped with this answer, and the protocol passes over its rest.
+    Refused(Vec<u8>),
+    /// It is dropped with this answer, the last one of the connection: where its rest ends cannot be told.
+    Closed(Vec<u8>),
+}
+
 /// The protocol of one port, with the state of one connection.
 pub trait Protocol {
     /// The maximum number of open streams of a connection.
@@ -54,7 +66,11 @@
     /// from there on.
     fn parse(&mut self, downstream: DownstreamId, place: u64, bytes: &[u8]) -> ParseStep;
 
-    /// Whether commands are RESP arrays that may be read past without being parsed.
+    /// Refuses the incomplete command that `bytes` hold: there has been no room for it for too long, or it has
+    /// not arrived while others wait for the room that it was given.
+    fn refuse_without_room(&mut self, bytes: &[u8]) -> WithoutRoom;
+
+    /// Whether all that follows the commands that are held is RESP arrays that may be read past.
     fn skips(&self) -> bool {
         false
     }
--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -9,7 +9,7 @@
 use martenweir::core::{DownstreamId, Input};
 use martenweir::net::accept::{accept, ConnectionLimiter, Socket};
 use martenweir::net::downstream::{serve, ChangedDownstreams, Link, SharedActivity, TaskMessage};
-use martenweir::net::protocol::{resp_command, ParseStep, Parsed, Protocol};
+use martenweir::net::protocol::{resp_command, ParseStep, Parsed, Protocol, WithoutRoom};
 use martenweir::net::{Caller, NetEvent, PortIndex};
 use rstest::rstest;
 use std::cell::Cell;
@@ -28,6 +28,10 @@
     fn parse(&mut self, _: DownstreamId, _: u64, bytes: &[u8]) -> ParseStep {
         resp_command(bytes, |mut command, _| Parsed::Local(command.pop().unwrap_or_default()))
     }
+
+    fn refuse_without_room(&mut self, _: &[u8]) -> WithoutRoom {
+        WithoutRoom::ReadPast
+    }
 }
 
 /// The peer, socket, activity and message queue of a downstream whose task runs on `executor`.
--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::gateway::{frame, response, NodeReply};
 use support::program::{Program, Start};
 use support::servers::{cache_node, cluster, memcached_node, slow_origin, Reply};
@@ -68,6 +68,10 @@
     Ok(head)
 }
 
+/// Wanted where each final answer will do.
+const ANY_ANSWER: &str = "any answer";
+const NO_RESPONSE: &str = "no response";
+
 /// A message of a client and the responses that it wants.
 #[derive(Clone, Debug)]
 struct Message {
@@ -146,6 +150,7 @@
 fn fits(wanted: &str, got: &str) -> bool {
     let refused = match wanted {
         "GET 0x00" | "GETK 0x00" | "GETQ 0x00" | "GETKQ 0x00" | "SET 0x00" => got.ends_with("0x85"),
+        ANY_ANSWER => !got.starts_with(NO_RESPONSE),
         "$1" | "$7" => got.starts_with("-BUSY"),
         _ => false,
     };
@@ -185,7 +190,7 @@
                 "closed" => from.read(&mut [0; 1]).map(|n| if n == 0 { "closed" } else { "more" }.to_owned()),
                 _ => message.port.response(&mut from),
             };
-            let got = got.unwrap_or_else(|why| format!("no response: {why}"));
+            let got = got.unwrap_or_else(|why| format!("{NO_RESPONSE}: {why}"));
             if !fits(wanted, &got) {
                 let (port, length) = (message.port, message.bytes.len());
                 return Err(format!("{port:?}, {length} bytes cut at {cuts:?}: {got}, not {wanted}"));
@@ -414,3 +419,62 @@
     }
     assert!(responses.load(Ordering::Relaxed) >= whole);
 }
+
+/// Guards commands that wait for room of the memory budget, which only the main port refused: others hold all of
+/// it with large writes that they do not end, or that the origin works on.
+#[rstest]
+#[case::unfinished_frames(Port::Memcached, 1)]
+#[case::unfinished_commands(Port::Main, 1)]
+#[case::commands_in_flight(Port::Main, 0)]
+fn a_command_without_room_is_answered_in_time(
+    #[case] holder: Port,
+    #[case] lacking: usize,
+    #[values(Port::Memcached, Port::Multiget)] port: Port,
+) {
+    /// How long a gateway waits for a write: half of its class's time.
+    const WRITE_WAIT: Duration = Duration::from_millis(1250);
+    const LOST_AFTER: Duration = Duration::from_millis(550);
+    let members = cluster(cache_node(Reply::Short(1)), slow_origin(Duration::from_secs(5)));
+    let features = ["memcacheport 0", "multigetport 0", TENANT, "doorbytes 256 KB"].map(str::to_owned);
+    let start = Start { features: features.to_vec(), ..Start::new(64, 1024, members) };
+    let program = Program::start_with(start);
+    let hold = |number: u64| {
+        let write = large_write(holder, number, VALUE);
+        let mut socket = TcpStream::connect(holder.address(&program)).expect("it listens");
+        socket.write_all(&write.bytes[..write.bytes.len() - lacking]).expect("it is open");
+        socket
+    };
+    let holders: Vec<_> = (0..8).map(hold).collect();
+    thread::sleep(PAUSE);
+    let sent = Instant::now();
+    let send = |number: u64| {
+        let message = command_that_needs_room(port, 100 + number);
+        let mut sender = Sender::connect(message, Vec::new(), &program).expect("it listens");
+        sender.send(0).expect("it is open");
+        sender
+    };
+    let senders: Vec<_> = (0..8).map(send).collect();
+    for sender in senders {
+        sender.expect().expect("an answer");
+        assert!(sent.elapsed() < WRITE_WAIT + LOST_AFTER, "after {:?}", sent.elapsed());
+    }
+    drop(holders);
+}
+
+/// A command that is longer than what a connection may hold without room.
+fn command_that_needs_room(port: Port, number: u64) -> Message {
+    match port {
+        Port::Multiget => {
+            let long = "k".repeat(4000);
+            let properties = format!("c=lookup,t=nordurbanki,d=1500,x={}", "x".repeat(4000));
+            let read = command(&["CACHE.GET", &long, &format!("{long}-{number}"), &properties]);
+            message(port, [command(&["CACHE.MGET", "1"]), read].concat(), &[ANY_ANSWER])
+        }
+        // It is refused and its rest passed over, or it finds room in the end and its time is up.
+        _ => {
+            let write = large_write(Port::Memcached, number, VALUE).bytes;
+            let noop = frame(0x0a, "", &[], b"", 0);
+            message(Port::Memcached, [write, noop].concat(), &[ANY_ANSWER, "NOOP 0x00"])
+        }
+    }
+}
