Cut the filter of the tap at each byte too

Need: the tap's filter is a message that comes in pieces as well, and nothing cut it on a real connection.

Change: tests/pieces.rs has it beside the messages of the other ports that speak text. No fault was found: the tap looks for the end of the line at each read.

--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -32,6 +32,7 @@
 enum Port {
     Main,
     Multiget,
+    Tap,
     Memcached,
 }
 
@@ -40,6 +41,7 @@
         match self {
             Port::Main => program.address,
             Port::Multiget => program.side_ports["multi-get"],
+            Port::Tap => program.side_ports["tap"],
             Port::Memcached => program.side_ports["memcached"],
         }
     }
@@ -48,6 +50,7 @@
     fn response(self, from: &mut BufReader<TcpStream>) -> io::Result<String> {
         match self {
             Port::Main => resp_reply(from),
+            Port::Tap => line(from),
             Port::Multiget => {
                 let head = line(from)?;
                 let items = head.strip_prefix('*').and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -128,8 +131,8 @@
     ]
 }
 
-/// Each kind of command of the RESP ports.
-fn resp_messages(number: u64) -> Vec<Message> {
+/// Each kind of message of the ports that speak text.
+fn text_messages(number: u64) -> Vec<Message> {
     let (key, id) = (format!("{number:x}"), format!("id-{number}"));
     let read = command(&["CACHE.GET", &key, &id, "c=lookup,t=nordurbanki,d=1500"]);
     let other = command(&["CACHE.GET", &key, &format!("{id}-b"), "c=lookup,t=nordurbanki,d=1500"]);
@@ -143,6 +146,7 @@
         message(Port::Main, write, &["$7"]),
         message(Port::Main, command(&["CACHE.PUT", &key]), &["-ERR unknown command"]),
         message(Port::Multiget, [several, ping].concat(), &["$8 $1 $1", "+PONG"]),
+        message(Port::Tap, b"class=nobody\n".to_vec(), &["# refused: unknown class=nobody", "closed"]),
     ]
 }
 
@@ -230,7 +234,7 @@
 /// The program with all ports, before quick servers, with these lines of the operators' file.
 fn start(memory_mb: u64, sockets: u64, features: &[&str]) -> Program {
     let members = cluster(cache_node(Reply::Short(1)), slow_origin(Duration::ZERO));
-    let ports = ["memcacheport 0", "multigetport 0"];
+    let ports = ["memcacheport 0", "multigetport 0", "tapport 0"];
     let features = ports.iter().chain(features).map(|line| (*line).to_owned()).collect();
     Program::start_with(Start { features, ..Start::new(memory_mb, sockets, members) })
 }
@@ -263,7 +267,7 @@
 /// pieces was never parsed, and its connection was closed after 2 s.
 #[rstest]
 #[case::gateways(gateway_messages)]
-#[case::resp(resp_messages)]
+#[case::text(text_messages)]
 fn a_message_in_two_pieces_is_answered_wherever_it_is_cut(#[case] messages: fn(u64) -> Vec<Message>) {
     play(&start(64, 1024, &[TENANT]), cut_at_each_byte(messages));
 }
@@ -285,7 +289,7 @@
     let program = start(64, 1024, &[TENANT, "proxyfrom 127.0.0.1"]);
     let messages = |number| {
         let of = |all: Vec<Message>, kinds: [usize; 2]| kinds.map(|kind| all[kind].clone());
-        let all = of(gateway_messages(number), [0, 3]).into_iter().chain(of(resp_messages(number), [1, 4]));
+        let all = of(gateway_messages(number), [0, 3]).into_iter().chain(of(text_messages(number), [1, 4]));
         all.map(|message| Message { bytes: [header, &message.bytes].concat(), ..message }).collect()
     };
     play(&program, cut_at_each_byte(messages));
@@ -377,7 +381,7 @@
         0 => large(Port::Memcached, draws),
         1 => large(Port::Main, draws),
         2..=4 => {
-            let mut all = resp_messages(10_000_000 + number);
+            let mut all = text_messages(10_000_000 + number);
             all.swap_remove(draws.random_range(0..all.len()))
         }
         _ => {
