Tell a command that waits for room and can still be read from one that cannot

Need: a command without a reservation for all of it may still have room for its next bytes. If its client has stopped, it waits for the client, and the log said that it waits for room.

Change: room is told only while nothing of it can be read. The order of the explanations is written as plain conditions.

Measured: tests/exchanges waits.txt, speechless.txt and the memcached ones, tests/pieces.rs and tests/downstream.rs pass, debug build.

--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -320,12 +320,17 @@
 
     /// What the input waits for.
     fn input_wait(&self, waits_for_turn: bool) -> InputWait {
-        let has_whole = self.input.may_be_whole() || self.input.skipped() > 0;
-        match () {
-            () if self.input.ticket().is_some() || self.answers.ticket().is_some() => InputWait::Room,
-            () if waits_for_turn => InputWait::Turn,
-            () if has_whole => InputWait::Answer,
-            () => InputWait::Bytes,
+        // A command may wait for room and still have some for its next bytes.
+        let blocked = self.input.waits_for_command() && self.input.blocked_since().is_some();
+        if blocked || self.answers.ticket().is_some() {
+            return InputWait::Room;
+        }
+        if waits_for_turn {
+            return InputWait::Turn;
+        }
+        match self.input.may_be_whole() || self.input.skipped() > 0 {
+            true => InputWait::Answer,
+            false => InputWait::Bytes,
         }
     }
 
