--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -161,7 +161,7 @@
     got == wanted || refused
 }
 
-/// Sends all but the last piece of a message.
+/// Sends a message in pieces on a connection of its own, and reads the responses.
 struct Sender {
     message: Message,
     cuts: Vec<usize>,
